Set down the modules, the core types and the design

The first commit fixes the shape: decision modules without HTTP, framing or codec libraries, one ranked lock per shared table, one clock, one enumeration of refusal and retry reasons, and small implementations behind interfaces.

--- /dev/null
+++ b/kumquatvane-admission/src/main/java/org/kumquatvane/admission/FairAdmissionQueue.java
@@ -0,0 +1,82 @@
+package org.kumquatvane.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.kumquatvane.admission.internal.ServiceQueue;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.LockRank;
+import org.kumquatvane.core.RankedLock;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.document.Document;
+import org.kumquatvane.document.DocumentListener;
+import org.kumquatvane.document.Service;
+
+/**
+ * Admission queue that divides slot time evenly between the workspaces that have requests waiting.
+ *
+ * <p>Fairness is counted in slot time and not in requests, so that a workspace with slow requests
+ * gets no more of the instances than one with fast ones.
+ */
+public final class FairAdmissionQueue implements AdmissionQueue, DocumentListener {
+  private final RankedLock lock = new RankedLock(LockRank.ADMISSION);
+  private final Clock clock;
+  private final Map<ServiceName, ServiceQueue> queues = new HashMap<>();
+
+  /**
+   * Creates a queue without services.
+   *
+   * @param clock clock of the deadlines
+   */
+  public FairAdmissionQueue(Clock clock) {
+    this.clock = clock;
+  }
+
+  @Override
+  public void documentInForce(Document document) {
+    lock.run(
+        () -> {
+          for (Service service : document.services()) {
+            queues
+                .computeIfAbsent(service.name(), unused -> new ServiceQueue())
+                .setPolicy(service.queue());
+          }
+        });
+  }
+
+  @Override
+  public Optional<Reason> enqueue(ServiceName service, WaitingRequest request) {
+    return lock.call(() -> queue(service).enqueue(request, clock));
+  }
+
+  @Override
+  public Optional<WaitingRequest> next(ServiceName service) {
+    List<WaitingRequest> expired = new ArrayList<>();
+    Optional<WaitingRequest> next = lock.call(() -> queue(service).next(clock, expired));
+    expired.forEach(WaitingRequest::expired);
+    return next;
+  }
+
+  @Override
+  public boolean remove(ServiceName service, WaitingRequest request) {
+    return lock.call(() -> queue(service).remove(request));
+  }
+
+  @Override
+  public void charge(ServiceName service, WorkspaceId workspace, long slotNanos) {
+    lock.run(() -> queue(service).charge(workspace, slotNanos));
+  }
+
+  @Override
+  public int waiting(ServiceName service) {
+    return lock.call(() -> queue(service).waiting());
+  }
+
+  private ServiceQueue queue(ServiceName service) {
+    return queues.computeIfAbsent(service, unused -> new ServiceQueue());
+  }
+}
--- /dev/null
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Commands and the product's binary. */
+@NullMarked
+package org.kumquatvane.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/Counters.java
@@ -0,0 +1,19 @@
+package org.kumquatvane.core;
+
+/** Counters that decisions increment; the telemetry module publishes them. */
+public interface Counters {
+  /**
+   * Counts one refusal or retry.
+   *
+   * @param reason the reason
+   */
+  void count(Reason reason);
+
+  /**
+   * Adds to a named counter.
+   *
+   * @param name dotted lower-case name
+   * @param amount amount to add, not negative
+   */
+  void add(String name, long amount);
+}
--- /dev/null
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/Deadline.java
@@ -0,0 +1,57 @@
+package org.kumquatvane.core;
+
+import java.time.Duration;
+
+/**
+ * A point of the monotonic clock after which something no longer holds.
+ *
+ * @param nanos the point on {@link Clock#monotonicNanos()}
+ */
+public record Deadline(long nanos) implements Comparable<Deadline> {
+  /**
+   * Returns the deadline that lies the given time after now.
+   *
+   * @param clock the clock that defines now
+   * @param duration time from now; may be zero
+   * @return the deadline
+   */
+  public static Deadline after(Clock clock, Duration duration) {
+    return new Deadline(clock.monotonicNanos() + duration.toNanos());
+  }
+
+  /**
+   * Tells whether the deadline has been reached.
+   *
+   * @param clock the clock that defines now
+   * @return true when no time remains
+   */
+  public boolean isReached(Clock clock) {
+    return clock.monotonicNanos() - nanos >= 0;
+  }
+
+  /**
+   * Returns the time that remains.
+   *
+   * @param clock the clock that defines now
+   * @return nanoseconds until the deadline; negative once it has passed
+   */
+  public long remainingNanos(Clock clock) {
+    return nanos - clock.monotonicNanos();
+  }
+
+  /**
+   * Returns the earlier of two deadlines.
+   *
+   * @param other the other deadline
+   * @return whichever is reached first
+   */
+  public Deadline earliest(Deadline other) {
+    return compareTo(other) <= 0 ? this : other;
+  }
+
+  @Override
+  public int compareTo(Deadline other) {
+    // nanoTime may overflow, so deadlines are compared by their difference.
+    return Long.signum(nanos - other.nanos);
+  }
+}
--- /dev/null
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/LockRank.java
@@ -0,0 +1,31 @@
+package org.kumquatvane.core;
+
+/**
+ * Order in which a thread may take locks: only a lock of a higher rank than every lock it holds.
+ *
+ * <p>The declaration order is the rank order. docs/design.md lists the table behind each rank.
+ */
+public enum LockRank {
+  /** Configuration in force and its generation. */
+  CONFIGURATION,
+  /** VM list, peer evidence and the agreed view. */
+  MEMBERSHIP,
+  /** Digests of callers' keys. */
+  KEYS,
+  /** Shares, leases and token buckets of workspaces. */
+  LIMITS,
+  /** Records of non-idempotent operations. */
+  OPERATIONS,
+  /** Requests waiting for a slot. */
+  ADMISSION,
+  /** Evidence and ejection state of instances. */
+  EJECTION,
+  /** In-flight counts and connections of instances. */
+  SELECTION,
+  /** Retry budgets of services. */
+  RETRIES,
+  /** Requests in flight. */
+  IN_FLIGHT,
+  /** Queues of the worker pool. */
+  WORKERS
+}
--- /dev/null
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/InstanceHealth.java
@@ -0,0 +1,25 @@
+package org.kumquatvane.ejection;
+
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.ServiceName;
+
+/** Judges instances by the outcomes of real requests and ejects those that fail gray. */
+public interface InstanceHealth {
+  /**
+   * Tells whether an instance may get a request now.
+   *
+   * @param service the service
+   * @param instance the instance
+   * @return its eligibility
+   */
+  Eligibility eligibility(ServiceName service, InstanceId instance);
+
+  /**
+   * Takes note of an attempt.
+   *
+   * @param service the service
+   * @param instance the instance
+   * @param observation what the attempt showed
+   */
+  void observe(ServiceName service, InstanceId instance, Observation observation);
+}
--- /dev/null
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/NoEjection.java
@@ -0,0 +1,15 @@
+package org.kumquatvane.ejection;
+
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.ServiceName;
+
+/** Never ejects an instance; the baseline that other ways are measured against. */
+public final class NoEjection implements InstanceHealth {
+  @Override
+  public Eligibility eligibility(ServiceName service, InstanceId instance) {
+    return Eligibility.ELIGIBLE;
+  }
+
+  @Override
+  public void observe(ServiceName service, InstanceId instance, Observation observation) {}
+}
--- /dev/null
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/BackendVm.java
@@ -0,0 +1,22 @@
+package org.kumquatvane.membership;
+
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.core.SocketEndpoint;
+
+/**
+ * A backend VM of the platform's list, which is one instance of a service.
+ *
+ * @param id name of the instance
+ * @param service the service
+ * @param address where it serves HTTP
+ * @param failureDomain its failure domain
+ * @param state its state
+ */
+public record BackendVm(
+    InstanceId id,
+    ServiceName service,
+    SocketEndpoint address,
+    FailureDomain failureDomain,
+    VmState state) {}
--- /dev/null
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/FleetMembership.java
@@ -0,0 +1,35 @@
+package org.kumquatvane.membership;
+
+import java.util.List;
+import java.util.Optional;
+
+/** What this VM knows about the other VMs of the fleet. */
+public interface FleetMembership {
+  /**
+   * Returns this VM as it stands in its settings.
+   *
+   * @return this VM
+   */
+  Vm self();
+
+  /**
+   * Returns the agreed view if it is valid at this moment on this VM's clock.
+   *
+   * @return the view, or empty
+   */
+  Optional<AgreedView> agreedView();
+
+  /**
+   * Returns the entry VMs of the newest VM list, this VM included.
+   *
+   * @return the VMs, live and leaving
+   */
+  List<Vm> listedVms();
+
+  /**
+   * Adds a listener; not thread-safe, for start-up only.
+   *
+   * @param listener learns of later changes
+   */
+  void addListener(MembershipListener listener);
+}
--- /dev/null
+++ b/kumquatvane-operations/src/main/java/org/kumquatvane/operations/RecordedAnswer.java
@@ -0,0 +1,50 @@
+package org.kumquatvane.operations;
+
+import java.util.List;
+
+/** Answer of an operation that has run, kept for repeats. Immutable. */
+public final class RecordedAnswer {
+  private final int status;
+  private final List<AnswerHeader> headers;
+  private final byte[] body;
+
+  /**
+   * Creates an answer.
+   *
+   * @param status HTTP status
+   * @param headers header fields to send again
+   * @param body the whole body; copied
+   */
+  public RecordedAnswer(int status, List<AnswerHeader> headers, byte[] body) {
+    this.status = status;
+    this.headers = List.copyOf(headers);
+    this.body = body.clone();
+  }
+
+  /**
+   * Returns the HTTP status.
+   *
+   * @return a status code
+   */
+  public int status() {
+    return status;
+  }
+
+  /**
+   * Returns the header fields to send again.
+   *
+   * @return the fields in order
+   */
+  public List<AnswerHeader> headers() {
+    return headers;
+  }
+
+  /**
+   * Returns the whole body.
+   *
+   * @return a copy
+   */
+  public byte[] body() {
+    return body.clone();
+  }
+}
--- /dev/null
+++ b/kumquatvane-operations/src/main/java/org/kumquatvane/operations/package-info.java
@@ -0,0 +1,5 @@
+/** Records that keep non-idempotent operations from running twice. */
+@NullMarked
+package org.kumquatvane.operations;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/package-info.java
@@ -0,0 +1,5 @@
+/** TCP framing with MessagePack between VMs. */
+@NullMarked
+package org.kumquatvane.peering;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/FixedRetry.java
@@ -0,0 +1,25 @@
+package org.kumquatvane.retries;
+
+import org.kumquatvane.core.Deadline;
+
+/** Repeats an attempt up to the cap, whatever the load. */
+public final class FixedRetry implements RetryPolicy {
+  private final RetryRules rules;
+
+  /**
+   * Creates the policy.
+   *
+   * @param rules what may be repeated
+   */
+  public FixedRetry(RetryRules rules) {
+    this.rules = rules;
+  }
+
+  @Override
+  public RetryDecision decide(RetryContext context) {
+    Deadline next = rules.nextAttempt(context);
+    return rules.isAllowed(context) && next.compareTo(context.deadline()) < 0
+        ? new RetryDecision.Retry(context.failure().retryReason(), next)
+        : new RetryDecision.GiveUp();
+  }
+}
--- /dev/null
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/NoRetry.java
@@ -0,0 +1,9 @@
+package org.kumquatvane.retries;
+
+/** Never repeats an attempt; the baseline that other ways are measured against. */
+public final class NoRetry implements RetryPolicy {
+  @Override
+  public RetryDecision decide(RetryContext context) {
+    return new RetryDecision.GiveUp();
+  }
+}
--- /dev/null
+++ b/kumquatvane-routing/src/main/java/org/kumquatvane/routing/DocumentRouteTable.java
@@ -0,0 +1,93 @@
+package org.kumquatvane.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.document.Document;
+import org.kumquatvane.document.DocumentListener;
+import org.kumquatvane.document.Route;
+
+/**
+ * Route table of the document in force, a tree over path segments.
+ *
+ * <p>The tree is immutable once built and replaced as a whole, so look-ups need no lock. A look-up
+ * visits at most two branches a segment: the literal one first, then {@code *}; the nearest {@code
+ * **} above is the fallback.
+ */
+public final class DocumentRouteTable implements RouteTable, DocumentListener {
+  private static final String ONE_SEGMENT = "*";
+  private static final String ANY_REST = "**";
+
+  private volatile Branch root = new Branch();
+
+  @Override
+  public void documentInForce(Document document) {
+    Branch built = new Branch();
+    document.routes().forEach(route -> insert(built, route));
+    root = built;
+  }
+
+  @Override
+  public RouteMatch match(String method, String path) {
+    Search search = new Search(method);
+    String[] segments = segments(path);
+    Optional<Route> route = search.find(root, segments, 0);
+    if (route.isPresent()) {
+      return new RouteMatch.Found(route.get());
+    }
+    return search.pathKnown ? new RouteMatch.MethodNotAllowed() : new RouteMatch.PathUnknown();
+  }
+
+  private static String[] segments(String path) {
+    String relative = path.startsWith("/") ? path.substring(1) : path;
+    return relative.split("/", -1);
+  }
+
+  private static void insert(Branch root, Route route) {
+    Branch branch = root;
+    for (String segment : segments(route.path())) {
+      if (segment.equals(ANY_REST)) {
+        branch.restRoutes.add(route);
+        return;
+      }
+      branch = branch.children.computeIfAbsent(segment, unused -> new Branch());
+    }
+    branch.routes.add(route);
+  }
+
+  private static final class Branch {
+    private final Map<String, Branch> children = new HashMap<>();
+    private final List<Route> routes = new ArrayList<>();
+    private final List<Route> restRoutes = new ArrayList<>();
+  }
+
+  private static final class Search {
+    private final String method;
+    private boolean pathKnown;
+
+    private Search(String method) {
+      this.method = method;
+    }
+
+    private Optional<Route> find(Branch branch, String[] segments, int depth) {
+      if (depth == segments.length) {
+        return withMethod(branch.routes).or(() -> withMethod(branch.restRoutes));
+      }
+      return findBelow(branch.children.get(segments[depth]), segments, depth)
+          .or(() -> findBelow(branch.children.get(ONE_SEGMENT), segments, depth))
+          .or(() -> withMethod(branch.restRoutes));
+    }
+
+    private Optional<Route> findBelow(@Nullable Branch child, String[] segments, int depth) {
+      return child == null ? Optional.empty() : find(child, segments, depth + 1);
+    }
+
+    private Optional<Route> withMethod(List<Route> routes) {
+      pathKnown |= !routes.isEmpty();
+      return routes.stream().filter(route -> route.methods().contains(method)).findFirst();
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-routing/src/main/java/org/kumquatvane/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Matches methods and paths to routes. */
+@NullMarked
+package org.kumquatvane.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/package-info.java
@@ -0,0 +1,5 @@
+/** Chooses an instance for an attempt. */
+@NullMarked
+package org.kumquatvane.selection;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Reads the settings of one VM. */
+@NullMarked
+package org.kumquatvane.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-telemetry/src/main/java/org/kumquatvane/telemetry/package-info.java
@@ -0,0 +1,5 @@
+/** Event log, counters and their text form. */
+@NullMarked
+package org.kumquatvane.telemetry;
+
+import org.jspecify.annotations.NullMarked;
