--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/CallerRequest.java
@@ -0,0 +1,25 @@
+package org.kumquatvane.engine;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.kumquatvane.core.RequestId;
+
+/**
+ * The head of a caller's request, free of any HTTP library.
+ *
+ * @param id identifies the logical request
+ * @param method HTTP method in upper case
+ * @param path absolute path without query, validated by the front end
+ * @param key the caller's key
+ * @param idempotencyKey the only Idempotency-Key, if one was sent
+ * @param timeout time that the caller allows, if it says so
+ * @param arrivalNanos monotonic time of arrival
+ */
+public record CallerRequest(
+    RequestId id,
+    String method,
+    String path,
+    PresentedKey key,
+    Optional<String> idempotencyKey,
+    Optional<Duration> timeout,
+    long arrivalNanos) {}
--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/DeliveryListener.java
@@ -0,0 +1,20 @@
+package org.kumquatvane.engine;
+
+import java.util.Optional;
+import org.kumquatvane.operations.RecordedAnswer;
+
+/** Learns how the delivery of an answer to the caller ended: exactly one call, on any thread. */
+public interface DeliveryListener {
+  /**
+   * The whole answer came from the backend server.
+   *
+   * @param captured the answer, if it was to be captured and is short enough
+   */
+  void completed(Optional<RecordedAnswer> captured);
+
+  /** The backend server's answer ended early; the caller's connection was broken. */
+  void cut();
+
+  /** The caller left before the whole answer was passed on. */
+  void abandoned();
+}
--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/PresentedKey.java
@@ -0,0 +1,21 @@
+package org.kumquatvane.engine;
+
+import org.kumquatvane.core.KeyDigest;
+import org.kumquatvane.core.Reason;
+
+/** The key of a request as the front end found it; the key itself stays in the front end. */
+public sealed interface PresentedKey {
+  /**
+   * Exactly one well-formed key in its place.
+   *
+   * @param digest its digest
+   */
+  record Present(KeyDigest digest) implements PresentedKey {}
+
+  /**
+   * No usable key.
+   *
+   * @param reason why the request is refused
+   */
+  record Unusable(Reason reason) implements PresentedKey {}
+}
--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
@@ -0,0 +1,222 @@
+package org.kumquatvane.engine.internal;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.Scheduler;
+import org.kumquatvane.ejection.Observation;
+import org.kumquatvane.engine.AnswerHead;
+import org.kumquatvane.engine.Attempt;
+import org.kumquatvane.engine.AttemptListener;
+import org.kumquatvane.engine.AttemptPlan;
+import org.kumquatvane.engine.AuthorizedRequest;
+import org.kumquatvane.engine.DeliveryListener;
+import org.kumquatvane.engine.EngineDependencies;
+import org.kumquatvane.engine.Exchange;
+import org.kumquatvane.operations.OperationResult;
+import org.kumquatvane.operations.RecordedAnswer;
+import org.kumquatvane.selection.Reservation;
+
+/** One attempt: holds a slot from its start until its answer has been delivered or has failed. */
+final class AttemptStep implements AttemptListener, DeliveryListener {
+  private final RequestFlow flow;
+  private final EngineDependencies dependencies;
+  private final AuthorizedRequest request;
+  private final Reservation reservation;
+  private final long startedNanos;
+  private final AtomicBoolean headSettled = new AtomicBoolean();
+  private final AtomicBoolean slotReleased = new AtomicBoolean();
+  private volatile @Nullable Attempt attempt;
+  private volatile Scheduler.@Nullable Scheduled deadlineTask;
+  private volatile boolean isCancelled;
+  private boolean recorded;
+
+  AttemptStep(
+      RequestFlow flow,
+      EngineDependencies dependencies,
+      AuthorizedRequest request,
+      Reservation reservation) {
+    this.flow = flow;
+    this.dependencies = dependencies;
+    this.request = request;
+    this.reservation = reservation;
+    startedNanos = dependencies.clock().monotonicNanos();
+  }
+
+  void start(Exchange exchange, boolean captureAnswer) {
+    recorded = captureAnswer;
+    deadlineTask = dependencies.scheduler().schedule(request.deadline(), this::deadlinePassed);
+    Attempt started =
+        exchange.attempt(
+            new AttemptPlan(
+                request.head().id(),
+                reservation.instance(),
+                request.workspace(),
+                request.deadline(),
+                dependencies.connectionShare().connectionsPerInstance(request.service()),
+                captureAnswer),
+            this);
+    attempt = started;
+    // The deadline or the caller's leaving may have come before the attempt was stored.
+    if (isCancelled) {
+      started.cancel();
+    }
+  }
+
+  private void deadlinePassed() {
+    if (headSettled.compareAndSet(false, true)) {
+      cancelAttempt();
+      settleFailure(AttemptFailure.TIMED_OUT, false, Observation.Kind.TIMED_OUT);
+    }
+  }
+
+  /** Ends the attempt because the caller has left. */
+  void cancel() {
+    if (headSettled.compareAndSet(false, true)) {
+      cancelAttempt();
+      dependencies
+          .workers()
+          .resume(() -> settleFailure(AttemptFailure.TIMED_OUT, false, Observation.Kind.CANCELLED));
+    }
+  }
+
+  private void cancelAttempt() {
+    isCancelled = true;
+    Attempt running = attempt;
+    if (running != null) {
+      running.cancel();
+    }
+  }
+
+  @Override
+  public void answered(Attempt running, AnswerHead head) {
+    if (headSettled.compareAndSet(false, true)) {
+      dependencies.workers().resume(() -> headReceived(running, head));
+    }
+  }
+
+  @Override
+  public void failed(AttemptFailure failure, boolean instanceGone) {
+    if (headSettled.compareAndSet(false, true)) {
+      dependencies
+          .workers()
+          .resume(() -> settleFailure(failure, instanceGone, observationOf(failure)));
+    }
+  }
+
+  private void headReceived(Attempt running, AnswerHead head) {
+    cancelDeadline();
+    if (head.saysDraining()) {
+      dependencies.instances().markLeaving(request.service().name(), reservation.instance().id());
+    }
+    if (head.saysNotRun()) {
+      running.discardAnswer();
+      settleFailure(AttemptFailure.SHED, false, Observation.Kind.SHED);
+      return;
+    }
+    observe(head.isServerError() ? Observation.Kind.SERVER_ERROR : Observation.Kind.SUCCESS);
+    if (head.isServerError() && flow.retryInstead(AttemptFailure.SERVER_ERROR)) {
+      running.discardAnswer();
+      releaseSlot();
+      return;
+    }
+    running.deliver(flow.attemptsMade(), this);
+  }
+
+  @Override
+  public void completed(Optional<RecordedAnswer> captured) {
+    dependencies
+        .workers()
+        .resume(
+            () -> {
+              releaseSlot();
+              flow.answered(resultOf(captured));
+            });
+  }
+
+  private OperationResult resultOf(Optional<RecordedAnswer> captured) {
+    return captured
+        .<OperationResult>map(OperationResult.Finished::new)
+        .orElseGet(
+            () ->
+                recorded
+                    ? new OperationResult.FinishedWithoutAnswer()
+                    : new OperationResult.Unknown());
+  }
+
+  @Override
+  public void cut() {
+    dependencies
+        .workers()
+        .resume(
+            () -> {
+              observe(Observation.Kind.ANSWER_INVALID);
+              releaseSlot();
+              dependencies.counters().add("answers.cut", 1);
+              flow.answered(new OperationResult.Unknown());
+            });
+  }
+
+  @Override
+  public void abandoned() {
+    dependencies
+        .workers()
+        .resume(
+            () -> {
+              releaseSlot();
+              flow.answered(new OperationResult.FinishedWithoutAnswer());
+            });
+  }
+
+  private void settleFailure(
+      AttemptFailure failure, boolean instanceGone, Observation.Kind observation) {
+    cancelDeadline();
+    observe(observation);
+    releaseSlot();
+    if (observation == Observation.Kind.CANCELLED) {
+      flow.abandon();
+      return;
+    }
+    flow.attemptFailed(failure, instanceGone, reservation.instance().id());
+  }
+
+  private void cancelDeadline() {
+    Scheduler.Scheduled task = deadlineTask;
+    if (task != null) {
+      task.cancel();
+    }
+  }
+
+  private void observe(Observation.Kind kind) {
+    Duration latency = Duration.ofNanos(dependencies.clock().monotonicNanos() - startedNanos);
+    dependencies
+        .health()
+        .observe(
+            request.service().name(), reservation.instance().id(), new Observation(kind, latency));
+  }
+
+  private void releaseSlot() {
+    if (slotReleased.compareAndSet(false, true)) {
+      dependencies.instances().release(reservation);
+      dependencies
+          .queue()
+          .charge(
+              request.service().name(),
+              request.workspace(),
+              dependencies.clock().monotonicNanos() - startedNanos);
+    }
+  }
+
+  private static Observation.Kind observationOf(AttemptFailure failure) {
+    return switch (failure) {
+      case CONNECT_FAILED -> Observation.Kind.CONNECT_FAILED;
+      case SHED -> Observation.Kind.SHED;
+      case CONNECTION_LOST -> Observation.Kind.CONNECTION_LOST;
+      case TIMED_OUT -> Observation.Kind.TIMED_OUT;
+      case SERVER_ERROR -> Observation.Kind.SERVER_ERROR;
+      case ANSWER_CROSSED, ANSWER_INCOMPLETE -> Observation.Kind.ANSWER_INVALID;
+    };
+  }
+}
--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -0,0 +1,349 @@
+package org.kumquatvane.engine.internal;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.ExecutionStatus;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.Invariant;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.core.Scheduler;
+import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.document.IdempotencyKeyRule;
+import org.kumquatvane.ejection.RequestFingerprint;
+import org.kumquatvane.engine.AuthorizedRequest;
+import org.kumquatvane.engine.BodyDescription;
+import org.kumquatvane.engine.EngineDependencies;
+import org.kumquatvane.engine.Exchange;
+import org.kumquatvane.engine.Refusal;
+import org.kumquatvane.engine.RunningRequest;
+import org.kumquatvane.limits.LimitDecision;
+import org.kumquatvane.operations.BeginVerdict;
+import org.kumquatvane.operations.Operation;
+import org.kumquatvane.operations.OperationResult;
+import org.kumquatvane.retries.RetryContext;
+import org.kumquatvane.retries.RetryDecision;
+import org.kumquatvane.selection.Reservation;
+
+/**
+ * The steps of one request: limit, operation record, queue, attempts, answer.
+ *
+ * <p>Each step is started by exactly one event on the worker pool, so the fields need no lock; the
+ * only races, with the caller's leaving and with deadlines, are decided by compare-and-set.
+ */
+public final class RequestFlow implements RunningRequest, SlotWaiter {
+  private final EngineDependencies dependencies;
+  private final SlotDispatcher dispatcher;
+  private final AuthorizedRequest request;
+  private final BodyDescription body;
+  private final Exchange exchange;
+  private final Runnable onEnd;
+  private final RequestFingerprint fingerprint;
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private final Set<InstanceId> tried = new HashSet<>();
+  private volatile @Nullable AttemptStep current;
+  private volatile boolean callerLeft;
+  private volatile Scheduler.@Nullable Scheduled queueDeadline;
+  private @Nullable Operation operation;
+  private int attemptsMade;
+  private boolean mayHaveRun;
+
+  /**
+   * Creates the flow of a checked request.
+   *
+   * @param dependencies tables and policies
+   * @param dispatcher hands out slots
+   * @param request the request
+   * @param body what is known of its body
+   * @param exchange drives the protocol
+   * @param onEnd called once, when the request has ended
+   */
+  public RequestFlow(
+      EngineDependencies dependencies,
+      SlotDispatcher dispatcher,
+      AuthorizedRequest request,
+      BodyDescription body,
+      Exchange exchange,
+      Runnable onEnd) {
+    this.dependencies = dependencies;
+    this.dispatcher = dispatcher;
+    this.request = request;
+    this.body = body;
+    this.exchange = exchange;
+    this.onEnd = onEnd;
+    fingerprint = Fingerprints.of(request, body);
+  }
+
+  /** Starts with the crash guard and the rate limit. */
+  public void start() {
+    if (dependencies.crashGuard().isBlocked(fingerprint)) {
+      refuse(Refusal.of(Reason.REQUEST_CRASHES_SERVERS, "requests like this one end instances"));
+      return;
+    }
+    dependencies.limiter().acquire(request.workspace(), request.deadline(), this::rateDecided);
+  }
+
+  private void rateDecided(LimitDecision decision) {
+    if (decision instanceof LimitDecision.Admitted) {
+      dependencies.retries().requestStarted(request.service().name());
+      recordOperation();
+    } else if (decision instanceof LimitDecision.RateLimited limited) {
+      refuse(
+          Refusal.of(Reason.RATE_LIMITED, "workspace " + request.workspace() + " is over its rate")
+              .withRetryAfter(limited.retryAfter()));
+    } else {
+      refuse(Refusal.of(Reason.SHARE_UNSETTLED, "this VM has no share of the rate yet"));
+    }
+  }
+
+  private void recordOperation() {
+    Optional<String> key = request.head().idempotencyKey();
+    if (key.isEmpty() || request.route().idempotencyKey() == IdempotencyKeyRule.IGNORED) {
+      enqueue();
+      return;
+    }
+    Operation named =
+        new Operation(request.workspace(), key.get(), Fingerprints.requestDigest(request, body));
+    dependencies
+        .ledger()
+        .begin(named, request.deadline(), verdict -> operationDecided(named, verdict));
+  }
+
+  private void operationDecided(Operation named, BeginVerdict verdict) {
+    if (verdict instanceof BeginVerdict.Proceed) {
+      operation = named;
+      enqueue();
+    } else if (verdict instanceof BeginVerdict.Replay replay) {
+      dependencies.counters().add("operations.replayed", 1);
+      if (end()) {
+        exchange.replay(replay.answer());
+      }
+    } else if (verdict instanceof BeginVerdict.AnswerNotKept) {
+      refuse(Refusal.of(Reason.ANSWER_NOT_KEPT, "the operation has run before"));
+    } else if (verdict instanceof BeginVerdict.KeyReused) {
+      refuse(
+          Refusal.of(
+              Reason.IDEMPOTENCY_KEY_REUSED, "the Idempotency-Key was used with another request"));
+    } else if (verdict instanceof BeginVerdict.KeyMalformed) {
+      refuse(
+          Refusal.of(
+              Reason.IDEMPOTENCY_KEY_MALFORMED, "the Idempotency-Key is not a current UUIDv7"));
+    } else {
+      refuse(
+          Refusal.of(
+              Reason.OUTCOME_UNKNOWN, "an earlier request with this Idempotency-Key may have run"));
+    }
+  }
+
+  private void enqueue() {
+    if (callerLeft) {
+      abandon();
+      return;
+    }
+    if (!dependencies.instances().hasInstance(request.service().name())) {
+      refuse(
+          notRunOrUnknown(
+              Reason.NO_INSTANCE, "service " + request.service().name() + " has no instance"));
+      return;
+    }
+    Optional<Reason> refusal = dependencies.queue().enqueue(request.service().name(), this);
+    if (refusal.isPresent()) {
+      refuse(notRunOrUnknown(refusal.get(), "service " + request.service().name() + " is busy"));
+      return;
+    }
+    // A queued request is woken by its deadline even if no slot ever becomes free.
+    queueDeadline =
+        dependencies
+            .scheduler()
+            .schedule(
+                request.deadline(),
+                () -> {
+                  if (dependencies.queue().remove(request.service().name(), this)) {
+                    expired();
+                  }
+                });
+    dispatcher.dispatch(request.service().name());
+  }
+
+  @Override
+  public WorkspaceId workspace() {
+    return request.workspace();
+  }
+
+  @Override
+  public Deadline deadline() {
+    return request.deadline();
+  }
+
+  @Override
+  public void expired() {
+    refuse(notRunOrUnknown(Reason.DEADLINE_PASSED_WAITING, "the deadline passed in the queue"));
+  }
+
+  @Override
+  public void granted(Reservation reservation) {
+    Scheduler.Scheduled waiting = queueDeadline;
+    if (waiting != null) {
+      waiting.cancel();
+    }
+    if (callerLeft) {
+      dependencies.instances().release(reservation);
+      dependencies.queue().charge(request.service().name(), request.workspace(), 0);
+      abandon();
+      return;
+    }
+    startAttempt(reservation);
+  }
+
+  private void startAttempt(Reservation reservation) {
+    dependencies
+        .monitor()
+        .check(
+            Invariant.OPERATION_AT_MOST_ONCE,
+            request.route().idempotent() || !mayHaveRun,
+            "request=" + request.head().id() + " attempts=" + attemptsMade);
+    attemptsMade++;
+    tried.add(reservation.instance().id());
+    AttemptStep step = new AttemptStep(this, dependencies, request, reservation);
+    current = step;
+    step.start(exchange, operation != null);
+    if (callerLeft) {
+      callerLeft();
+    }
+  }
+
+  /** Handles a failed attempt whose slot has been given back. */
+  void attemptFailed(AttemptFailure failure, boolean instanceGone, InstanceId instance) {
+    mayHaveRun |= !failure.isKnownNotRun();
+    if (failure == AttemptFailure.CONNECTION_LOST && instanceGone) {
+      dependencies.crashGuard().instanceLost(fingerprint, instance);
+    }
+    RetryDecision decision = decideRetry(failure);
+    if (decision instanceof RetryDecision.Retry retry && !callerLeft) {
+      dependencies.counters().count(retry.reason());
+      dependencies.scheduler().schedule(retry.notBefore(), this::retry);
+    } else if (callerLeft) {
+      abandon();
+    } else {
+      refuse(notRunOrUnknown(failure.refusalReason(), "attempts=" + attemptsMade + " failed"));
+    }
+    dispatcher.dispatch(request.service().name());
+  }
+
+  /** Decides whether an answer with a server error is dropped for another attempt. */
+  boolean retryInstead(AttemptFailure failure) {
+    if (callerLeft || !(decideRetry(failure) instanceof RetryDecision.Retry retry)) {
+      return false;
+    }
+    mayHaveRun |= !failure.isKnownNotRun();
+    dependencies.counters().count(retry.reason());
+    dependencies.scheduler().schedule(retry.notBefore(), this::retry);
+    return true;
+  }
+
+  private RetryDecision decideRetry(AttemptFailure failure) {
+    if (dependencies.crashGuard().isBlocked(fingerprint)) {
+      return new RetryDecision.GiveUp();
+    }
+    return dependencies
+        .retries()
+        .decide(
+            new RetryContext(
+                request.service(),
+                request.route().idempotent(),
+                body.repeatable(),
+                attemptsMade,
+                failure,
+                request.deadline()));
+  }
+
+  private void retry() {
+    if (callerLeft) {
+      abandon();
+      return;
+    }
+    Optional<Reservation> other =
+        dependencies.instances().reserve(request.service().name(), Set.copyOf(tried));
+    if (other.isPresent()) {
+      startAttempt(other.get());
+    } else {
+      enqueue();
+    }
+  }
+
+  /** Ends the request after its answer was passed on whole. */
+  void answered(OperationResult result) {
+    finishOperation(result);
+    end();
+    dispatcher.dispatch(request.service().name());
+  }
+
+  int attemptsMade() {
+    return attemptsMade;
+  }
+
+  @Override
+  public void callerLeft() {
+    callerLeft = true;
+    if (dependencies.queue().remove(request.service().name(), this)) {
+      dependencies.workers().resume(this::abandon);
+      return;
+    }
+    AttemptStep step = current;
+    // A non-idempotent operation in flight is finished and recorded, so that a repeat learns of it.
+    if (step != null && request.route().idempotent()) {
+      step.cancel();
+    }
+  }
+
+  /** Ends a request that nobody waits for. */
+  void abandon() {
+    dependencies.counters().add("requests.abandoned", 1);
+    finishOperation(mayHaveRun ? new OperationResult.Unknown() : new OperationResult.NotRun());
+    end();
+  }
+
+  private Refusal notRunOrUnknown(Reason reason, String detail) {
+    if (mayHaveRun || reason.execution() == ExecutionStatus.MAY_HAVE_RUN) {
+      return new Refusal(reason, ExecutionStatus.MAY_HAVE_RUN, detail, Optional.empty());
+    }
+    return Refusal.of(reason, detail);
+  }
+
+  private void refuse(Refusal refusal) {
+    dependencies
+        .monitor()
+        .check(
+            Invariant.NOT_RUN_IS_TRUE,
+            refusal.execution() != ExecutionStatus.NOT_RUN || !mayHaveRun,
+            "request=" + request.head().id() + " reason=" + refusal.reason().code());
+    finishOperation(
+        mayHaveRun || refusal.execution() != ExecutionStatus.NOT_RUN
+            ? new OperationResult.Unknown()
+            : new OperationResult.NotRun());
+    if (end()) {
+      dependencies.counters().count(refusal.reason());
+      exchange.refuse(refusal);
+    }
+  }
+
+  private void finishOperation(OperationResult result) {
+    Operation named = operation;
+    if (named != null) {
+      operation = null;
+      dependencies.ledger().finish(named, result);
+    }
+  }
+
+  private boolean end() {
+    if (!ended.compareAndSet(false, true)) {
+      return false;
+    }
+    onEnd.run();
+    return true;
+  }
+}
--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/SlotDispatcher.java
@@ -0,0 +1,46 @@
+package org.kumquatvane.engine.internal;
+
+import java.util.Optional;
+import java.util.Set;
+import org.kumquatvane.admission.AdmissionQueue;
+import org.kumquatvane.admission.WaitingRequest;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.selection.InstancePool;
+import org.kumquatvane.selection.Reservation;
+
+/** Brings free slots and waiting requests together. */
+public final class SlotDispatcher {
+  private final AdmissionQueue queue;
+  private final InstancePool instances;
+
+  /**
+   * Creates a dispatcher.
+   *
+   * @param queue waiting requests, all of them created by this package
+   * @param instances free slots
+   */
+  public SlotDispatcher(AdmissionQueue queue, InstancePool instances) {
+    this.queue = queue;
+    this.instances = instances;
+  }
+
+  /**
+   * Gives free slots of a service to waiting requests until either runs out.
+   *
+   * @param service the service
+   */
+  public void dispatch(ServiceName service) {
+    while (queue.waiting(service) > 0) {
+      Optional<Reservation> reservation = instances.reserve(service, Set.of());
+      if (reservation.isEmpty()) {
+        return;
+      }
+      Optional<WaitingRequest> next = queue.next(service);
+      if (next.isEmpty()) {
+        instances.release(reservation.get());
+        continue;
+      }
+      ((SlotWaiter) next.get()).granted(reservation.get());
+    }
+  }
+}
