Add the HTTP front end, the backend client and telemetry

The front end checks heads, finds the caller's key, buffers or streams bodies by one rule and relays answers with a length check. Each backend connection carries one request at a time and is closed unless its answer was read whole.

--- a/kumquatvane-core/src/main/java/org/kumquatvane/core/LockRank.java
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/LockRank.java
@@ -26,6 +26,8 @@
   RETRIES,
   /** Requests in flight. */
   IN_FLIGHT,
+  /** Connections to backend servers. */
+  CONNECTIONS,
   /** Queues of the worker pool. */
   WORKERS
 }
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BodyLimits.java
@@ -0,0 +1,10 @@
+package org.kumquatvane.http;
+
+/**
+ * Sizes that bound the memory of requests.
+ *
+ * @param maximumHeadBytes longest request line and header fields together
+ * @param bufferedBodyBytes longest body that is buffered; longer ones are streamed
+ * @param maximumBufferedBytes all buffered bodies of the VM together
+ */
+public record BodyLimits(int maximumHeadBytes, int bufferedBodyBytes, long maximumBufferedBytes) {}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/CallerServer.java
@@ -0,0 +1,105 @@
+package org.kumquatvane.http;
+
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpProtocolConfig;
+import io.servicetalk.http.api.HttpServerBuilder;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.StreamingHttpService;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServerSslConfigBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.GeneralSecurityException;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.EventLog;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.http.internal.ReloadingKeyManager;
+import org.kumquatvane.http.internal.SingleKeyManagerFactory;
+
+/** Listener for callers. */
+public final class CallerServer {
+  /** ServiceTalk closes a connection without an answer above this; refusals start below it. */
+  private static final int DECODER_HEAD_FACTOR = 4;
+
+  private final HttpServerContext context;
+
+  private CallerServer(HttpServerContext context) {
+    this.context = context;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param settings where and how
+   * @param service handles the requests
+   * @param ioExecutor threads of the connections
+   * @param clock clock of the certificate checks
+   * @param eventLog receives certificate events
+   * @return the running server
+   * @throws IOException if the address cannot be bound or a certificate file cannot be read
+   * @throws GeneralSecurityException if a certificate file has another form
+   */
+  public static CallerServer start(
+      CallerServerSettings settings,
+      StreamingHttpService service,
+      IoExecutor ioExecutor,
+      Clock clock,
+      EventLog eventLog)
+      throws IOException, GeneralSecurityException {
+    SocketEndpoint endpoint = settings.endpoint();
+    HttpServerBuilder builder =
+        HttpServers.forAddress(new InetSocketAddress(endpoint.host(), endpoint.port()))
+            .executionStrategy(HttpExecutionStrategies.offloadNone())
+            .ioExecutor(ioExecutor);
+    int decoderLimit = settings.limits().maximumHeadBytes() * DECODER_HEAD_FACTOR;
+    HttpProtocolConfig http1 =
+        HttpProtocolConfigs.h1()
+            .maxStartLineLength(decoderLimit)
+            .maxHeaderFieldLength(decoderLimit)
+            .build();
+    HttpProtocolConfig http2 = HttpProtocolConfigs.h2Default();
+    if (settings.tls().isPresent()) {
+      ReloadingKeyManager keys = new ReloadingKeyManager(settings.tls().get(), clock, eventLog);
+      builder
+          .protocols(http2, http1)
+          .sslConfig(new ServerSslConfigBuilder(new SingleKeyManagerFactory(keys)).build());
+    } else {
+      builder.protocols(settings.protocol() == CallerProtocol.HTTP2 ? http2 : http1);
+    }
+    try {
+      return new CallerServer(builder.listenStreamingAndAwait(service));
+    } catch (IOException e) {
+      throw e;
+    } catch (Exception e) {
+      throw new IOException("cannot listen for callers on " + endpoint, e);
+    }
+  }
+
+  /**
+   * Stops accepting connections, lets requests in flight end and closes idle connections.
+   *
+   * @param limit longest time to wait
+   * @return whether all requests ended in time
+   */
+  public boolean closeGracefully(Duration limit) {
+    try {
+      context
+          .closeAsyncGracefully()
+          .toFuture()
+          .get(Math.max(1, limit.toMillis()), TimeUnit.MILLISECONDS);
+      return true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    } catch (ExecutionException | TimeoutException e) {
+      context.closeAsync().onErrorComplete().subscribe();
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AnswerRelay.java
@@ -0,0 +1,154 @@
+package org.kumquatvane.http.internal;
+
+import static io.servicetalk.concurrent.api.Publisher.failed;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.api.Completable;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.TerminalSignalConsumer;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.kumquatvane.engine.DeliveryListener;
+import org.kumquatvane.operations.AnswerHeader;
+import org.kumquatvane.operations.RecordedAnswer;
+
+/**
+ * Relays the body of an answer to the caller, checks that it is whole and captures it if asked to.
+ *
+ * <p>The body is read exactly once: by the caller's connection, or by this class if the caller left
+ * before it was subscribed to.
+ */
+final class AnswerRelay {
+  /** Longest answer that is kept for repeats of an operation. */
+  private static final int MAXIMUM_CAPTURED_BYTES = 16 * 1024;
+
+  private final StreamingHttpResponse upstream;
+  private final OptionalLong declaredLength;
+  private final boolean capture;
+  private final DeliveryListener listener;
+  private final Runnable onWhole;
+  private final Runnable onBroken;
+  private final AtomicBoolean subscribed = new AtomicBoolean();
+  private final AtomicBoolean settled = new AtomicBoolean();
+  private final ByteArrayOutputStream captured = new ByteArrayOutputStream();
+  private long receivedBytes;
+
+  /**
+   * Creates a relay.
+   *
+   * @param upstream the answer
+   * @param declaredLength its length if it has a body of a declared length
+   * @param capture whether a short answer is kept
+   * @param listener learns the end
+   * @param onWhole called when the connection can be used again
+   * @param onBroken called when it must be closed
+   */
+  AnswerRelay(
+      StreamingHttpResponse upstream,
+      OptionalLong declaredLength,
+      boolean capture,
+      DeliveryListener listener,
+      Runnable onWhole,
+      Runnable onBroken) {
+    this.upstream = upstream;
+    this.declaredLength = declaredLength;
+    this.capture = capture;
+    this.listener = listener;
+    this.onWhole = onWhole;
+    this.onBroken = onBroken;
+  }
+
+  Publisher<Buffer> subscribeOnce() {
+    return subscribed.compareAndSet(false, true)
+        ? body()
+        : failed(new IOException("the answer was already read"));
+  }
+
+  void drainUnlessSubscribed() {
+    if (subscribed.compareAndSet(false, true)) {
+      body().ignoreElements().onErrorComplete().subscribe();
+    }
+  }
+
+  private Publisher<Buffer> body() {
+    return upstream
+        .payloadBody()
+        .beforeOnNext(this::received)
+        .concat(Completable.defer(this::checkLength))
+        .beforeFinally(
+            new TerminalSignalConsumer() {
+              @Override
+              public void onComplete() {
+                settle(
+                    () -> {
+                      onWhole.run();
+                      listener.completed(recordedAnswer());
+                    });
+              }
+
+              @Override
+              public void onError(Throwable failure) {
+                settle(
+                    () -> {
+                      onBroken.run();
+                      listener.cut();
+                    });
+              }
+
+              @Override
+              public void cancel() {
+                settle(
+                    () -> {
+                      onBroken.run();
+                      listener.abandoned();
+                    });
+              }
+            });
+  }
+
+  private void settle(Runnable end) {
+    if (settled.compareAndSet(false, true)) {
+      end.run();
+    }
+  }
+
+  private void received(Buffer chunk) {
+    int length = chunk.readableBytes();
+    receivedBytes += length;
+    if (capture && receivedBytes <= MAXIMUM_CAPTURED_BYTES) {
+      byte[] bytes = new byte[length];
+      chunk.getBytes(chunk.readerIndex(), bytes);
+      captured.writeBytes(bytes);
+    }
+  }
+
+  private Completable checkLength() {
+    boolean isWhole = declaredLength.isEmpty() || declaredLength.getAsLong() == receivedBytes;
+    return isWhole
+        ? Completable.completed()
+        : Completable.failed(
+            new IOException(
+                "answer has " + receivedBytes + " of " + declaredLength.getAsLong() + " bytes"));
+  }
+
+  private Optional<RecordedAnswer> recordedAnswer() {
+    if (!capture || receivedBytes > MAXIMUM_CAPTURED_BYTES) {
+      return Optional.empty();
+    }
+    List<AnswerHeader> headers = new ArrayList<>();
+    for (Map.Entry<CharSequence, CharSequence> field : upstream.headers()) {
+      if (HeaderNames.isForwardedToCaller(field.getKey())) {
+        headers.add(new AnswerHeader(field.getKey().toString(), field.getValue().toString()));
+      }
+    }
+    return Optional.of(
+        new RecordedAnswer(upstream.status().code(), headers, captured.toByteArray()));
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -0,0 +1,265 @@
+package org.kumquatvane.http.internal;
+
+import static io.servicetalk.concurrent.api.SourceAdapters.toSource;
+
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.ReservedStreamingHttpConnection;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.transport.api.RetryableException;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.ExecutionStatus;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.engine.AnswerHead;
+import org.kumquatvane.engine.Attempt;
+import org.kumquatvane.engine.AttemptListener;
+import org.kumquatvane.engine.AttemptPlan;
+import org.kumquatvane.engine.DeliveryListener;
+import org.kumquatvane.http.BackendConnections;
+
+/** One attempt over one connection, which nothing else uses until the answer has been read. */
+final class BackendAttempt implements Attempt {
+  private static final int FIRST_STATUS_WITH_BODY = 200;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  private final HttpExchange exchange;
+  private final BackendConnections connections;
+  private final AttemptPlan plan;
+  private final SocketEndpoint endpoint;
+  private final AttemptListener listener;
+  private final AtomicBoolean connectionEnded = new AtomicBoolean();
+  private volatile @Nullable ReservedStreamingHttpConnection connection;
+  private volatile @Nullable StreamingHttpResponse response;
+  private volatile @Nullable Cancellable pending;
+  private volatile boolean cancelled;
+
+  BackendAttempt(
+      HttpExchange exchange,
+      BackendConnections connections,
+      AttemptPlan plan,
+      AttemptListener listener) {
+    this.exchange = exchange;
+    this.connections = connections;
+    this.plan = plan;
+    this.listener = listener;
+    endpoint = plan.instance().endpoint();
+  }
+
+  void start() {
+    Optional<ReservedStreamingHttpConnection> idle = connections.takeIdle(endpoint);
+    if (idle.isPresent()) {
+      send(idle.get());
+      return;
+    }
+    Optional<Single<ReservedStreamingHttpConnection>> opening =
+        connections.open(endpoint, plan.maximumConnections());
+    if (opening.isEmpty()) {
+      listener.failed(AttemptFailure.CONNECT_FAILED, false);
+      return;
+    }
+    subscribe(
+        opening.get(),
+        this::send,
+        failure -> listener.failed(AttemptFailure.CONNECT_FAILED, false));
+  }
+
+  private void send(ReservedStreamingHttpConnection opened) {
+    connection = opened;
+    if (cancelled) {
+      // Nothing was written, so the connection is as good as new.
+      giveBack();
+      return;
+    }
+    long remainingMillis =
+        TimeUnit.NANOSECONDS.toMillis(plan.deadline().nanos() - System.nanoTime());
+    subscribe(
+        opened.request(exchange.backendRequest(opened, plan, remainingMillis)),
+        this::headReceived,
+        this::requestFailed);
+  }
+
+  private void requestFailed(Throwable failure) {
+    discardConnection();
+    if (failure instanceof RetryableException) {
+      // ServiceTalk marks failures before the first write this way.
+      connections.discardIdle(endpoint);
+      listener.failed(AttemptFailure.CONNECT_FAILED, false);
+      return;
+    }
+    probeInstance();
+  }
+
+  /** Tells a lost connection from a lost instance by whether a new connection can be made. */
+  private void probeInstance() {
+    Optional<Single<ReservedStreamingHttpConnection>> probe =
+        connections.open(endpoint, plan.maximumConnections());
+    if (probe.isEmpty()) {
+      listener.failed(AttemptFailure.CONNECTION_LOST, false);
+      return;
+    }
+    subscribe(
+        probe.get(),
+        opened -> {
+          connections.giveBack(endpoint, opened);
+          listener.failed(AttemptFailure.CONNECTION_LOST, false);
+        },
+        gone -> listener.failed(AttemptFailure.CONNECTION_LOST, true));
+  }
+
+  private void headReceived(StreamingHttpResponse received) {
+    response = received;
+    HttpHeaders headers = received.headers();
+    @Nullable CharSequence echoed = headers.get(HeaderNames.REQUEST_ID);
+    if (echoed != null && !plan.request().value().contentEquals(echoed)) {
+      abandonAnswer(received);
+      listener.failed(AttemptFailure.ANSWER_CROSSED, false);
+      return;
+    }
+    if (hasBody(received) && !isFramed(headers)) {
+      abandonAnswer(received);
+      listener.failed(AttemptFailure.ANSWER_INCOMPLETE, false);
+      return;
+    }
+    listener.answered(
+        this,
+        new AnswerHead(
+            received.status().code(),
+            is(headers, HeaderNames.EXECUTION, ExecutionStatus.NOT_RUN.token()),
+            is(headers, HeaderNames.DRAINING, "true")));
+  }
+
+  private static boolean is(HttpHeaders headers, CharSequence name, String expected) {
+    @Nullable CharSequence value = headers.get(name);
+    return value != null && expected.contentEquals(value);
+  }
+
+  private boolean hasBody(StreamingHttpResponse received) {
+    int status = received.status().code();
+    return !exchange.isHeadRequest()
+        && status >= FIRST_STATUS_WITH_BODY
+        && status != NO_CONTENT
+        && status != NOT_MODIFIED;
+  }
+
+  /** Without a length or chunks an answer ends with its connection, and a cut is not seen. */
+  private static boolean isFramed(HttpHeaders headers) {
+    return Bodies.declaredLength(headers).isPresent()
+        || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+  }
+
+  private void abandonAnswer(StreamingHttpResponse received) {
+    discardConnection();
+    toSource(received.payloadBody().ignoreElements().onErrorComplete())
+        .subscribe(new CancellingSubscriber());
+  }
+
+  @Override
+  public void cancel() {
+    cancelled = true;
+    Cancellable running = pending;
+    if (running != null) {
+      running.cancel();
+    }
+    if (connection != null) {
+      // The connection may have gone silent; others opened before it may have too.
+      discardConnection();
+      connections.discardIdle(endpoint);
+    }
+  }
+
+  @Override
+  public void discardAnswer() {
+    StreamingHttpResponse received = response;
+    if (received != null) {
+      new AnswerRelay(
+              received,
+              declaredLength(received),
+              false,
+              new IgnoringDeliveryListener(),
+              this::giveBack,
+              this::discardConnection)
+          .drainUnlessSubscribed();
+    }
+  }
+
+  @Override
+  public void deliver(int attempts, DeliveryListener delivery) {
+    StreamingHttpResponse received = response;
+    if (received == null) {
+      throw new IllegalStateException("no answer to deliver");
+    }
+    exchange.endBody();
+    exchange.deliver(
+        received,
+        attempts,
+        new AnswerRelay(
+            received,
+            declaredLength(received),
+            plan.captureAnswer(),
+            delivery,
+            this::giveBack,
+            this::discardConnection));
+  }
+
+  private OptionalLong declaredLength(StreamingHttpResponse received) {
+    return hasBody(received) ? Bodies.declaredLength(received.headers()) : OptionalLong.empty();
+  }
+
+  private void giveBack() {
+    ReservedStreamingHttpConnection used = connection;
+    if (used == null || !connectionEnded.compareAndSet(false, true)) {
+      return;
+    }
+    StreamingHttpResponse received = response;
+    boolean closes =
+        received != null && is(received.headers(), HttpHeaderNames.CONNECTION, "close");
+    if (closes) {
+      connections.discard(endpoint, used);
+    } else {
+      connections.giveBack(endpoint, used);
+    }
+  }
+
+  private void discardConnection() {
+    ReservedStreamingHttpConnection used = connection;
+    if (used != null && connectionEnded.compareAndSet(false, true)) {
+      connections.discard(endpoint, used);
+    }
+  }
+
+  private <T> void subscribe(Single<T> single, Consumer<T> onSuccess, Consumer<Throwable> onError) {
+    toSource(single)
+        .subscribe(
+            new SingleSource.Subscriber<T>() {
+              @Override
+              public void onSubscribe(Cancellable cancellable) {
+                pending = cancellable;
+                if (cancelled) {
+                  cancellable.cancel();
+                }
+              }
+
+              @Override
+              public void onSuccess(@Nullable T result) {
+                if (result != null) {
+                  onSuccess.accept(result);
+                }
+              }
+
+              @Override
+              public void onError(Throwable failure) {
+                onError.accept(failure);
+              }
+            });
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/Bodies.java
@@ -0,0 +1,56 @@
+package org.kumquatvane.http.internal;
+
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaders;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+
+/** Lengths of message bodies. */
+final class Bodies {
+  private static final int LONGEST_DECIMAL = 18;
+
+  private Bodies() {}
+
+  /**
+   * Reads Content-Length.
+   *
+   * @param headers header fields
+   * @return the length in bytes; empty if absent or not a decimal number
+   */
+  static OptionalLong declaredLength(HttpHeaders headers) {
+    long length = decimal(headers.get(HttpHeaderNames.CONTENT_LENGTH));
+    return length < 0 ? OptionalLong.empty() : OptionalLong.of(length);
+  }
+
+  /**
+   * Reads a decimal number of digits only, since some parsers also take signs and spaces.
+   *
+   * @param text the text
+   * @return the number, or -1
+   */
+  static long decimal(@Nullable CharSequence text) {
+    if (text == null || text.length() == 0 || text.length() > LONGEST_DECIMAL) {
+      return -1;
+    }
+    long number = 0;
+    for (int i = 0; i < text.length(); i++) {
+      char digit = text.charAt(i);
+      if (digit < '0' || digit > '9') {
+        return -1;
+      }
+      number = number * 10 + (digit - '0');
+    }
+    return number;
+  }
+
+  /**
+   * Tells whether a message has a body according to its head.
+   *
+   * @param headers header fields
+   * @return whether bytes may follow
+   */
+  static boolean hasBody(HttpHeaders headers) {
+    return headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+        || declaredLength(headers).orElse(0) > 0;
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyReader.java
@@ -0,0 +1,125 @@
+package org.kumquatvane.http.internal;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import java.io.ByteArrayOutputStream;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.document.IdempotencyKeyRule;
+import org.kumquatvane.document.Route;
+import org.kumquatvane.engine.BodyDescription;
+import org.kumquatvane.engine.Refusal;
+import org.kumquatvane.http.BodyLimits;
+
+/**
+ * Buffers or streams a request body by the rule of docs/design.md, chapter 6.2: a declared length
+ * of at most {@code bufferedBodyBytes} is buffered, everything else is streamed and sent once.
+ */
+final class BodyReader {
+  private static final String EMPTY_DIGEST = digest(new byte[0]);
+
+  private final BodyLimits limits;
+  private final BufferBudget budget;
+
+  BodyReader(BodyLimits limits, BufferBudget budget) {
+    this.limits = limits;
+    this.budget = budget;
+  }
+
+  Single<BodyResult> read(StreamingHttpRequest request, Route route, BufferAllocator allocator) {
+    if (!Bodies.hasBody(request.headers())) {
+      BodyDescription empty = new BodyDescription(true, EMPTY_DIGEST);
+      return Single.succeeded(new BodyResult.Ready(new CallerBody(empty, 0, 0, Publisher.empty())));
+    }
+    OptionalLong declared = Bodies.declaredLength(request.headers());
+    if (declared.orElse(0) > route.maximumBodyBytes()) {
+      return Single.succeeded(tooLarge(route.maximumBodyBytes()));
+    }
+    boolean mustBuffer = route.idempotencyKey() != IdempotencyKeyRule.IGNORED;
+    long bufferLimit = Math.min(route.maximumBodyBytes(), limits.bufferedBodyBytes());
+    if (declared.isPresent() ? declared.getAsLong() <= bufferLimit : mustBuffer) {
+      return buffer(request, declared.orElse(bufferLimit), allocator);
+    }
+    return Single.succeeded(
+        mustBuffer ? tooLarge(bufferLimit) : stream(request, declared, route.maximumBodyBytes()));
+  }
+
+  private Single<BodyResult> buffer(
+      StreamingHttpRequest request, long maximumBytes, BufferAllocator allocator) {
+    if (!budget.reserve(maximumBytes)) {
+      return Single.succeeded(
+          new BodyResult.Refused(
+              Refusal.of(Reason.OVERLOADED, "the memory for request bodies is in use")));
+    }
+    AtomicLong received = new AtomicLong();
+    return request
+        .payloadBody()
+        .takeWhile(chunk -> received.addAndGet(chunk.readableBytes()) <= maximumBytes)
+        .collect(ByteArrayOutputStream::new, BodyReader::append)
+        .map(
+            collected ->
+                received.get() > maximumBytes
+                    ? releaseAndRefuse(maximumBytes)
+                    : ready(collected.toByteArray(), maximumBytes, allocator))
+        .beforeOnError(failure -> budget.release(maximumBytes))
+        .beforeCancel(() -> budget.release(maximumBytes));
+  }
+
+  private BodyResult releaseAndRefuse(long maximumBytes) {
+    budget.release(maximumBytes);
+    return tooLarge(maximumBytes);
+  }
+
+  private static BodyResult ready(byte[] bytes, long reservedBytes, BufferAllocator allocator) {
+    return new BodyResult.Ready(
+        new CallerBody(
+            new BodyDescription(true, digest(bytes)),
+            bytes.length,
+            reservedBytes,
+            Publisher.defer(() -> Publisher.from(allocator.wrap(bytes)))));
+  }
+
+  private static ByteArrayOutputStream append(ByteArrayOutputStream collected, Buffer chunk) {
+    byte[] bytes = new byte[chunk.readableBytes()];
+    chunk.readBytes(bytes);
+    collected.writeBytes(bytes);
+    return collected;
+  }
+
+  private static BodyResult stream(
+      StreamingHttpRequest request, OptionalLong declared, long maximumBytes) {
+    AtomicLong received = new AtomicLong();
+    Publisher<Buffer> counted =
+        request
+            .payloadBody()
+            .beforeOnNext(
+                chunk -> {
+                  if (received.addAndGet(chunk.readableBytes()) > maximumBytes) {
+                    // Ends the attempt; the backend server sees a body that is cut short.
+                    throw new IllegalStateException("body exceeds " + maximumBytes + " bytes");
+                  }
+                });
+    return new BodyResult.Ready(
+        new CallerBody(new BodyDescription(false, ""), declared.orElse(-1), 0, counted));
+  }
+
+  private static BodyResult tooLarge(long maximumBytes) {
+    return new BodyResult.Refused(
+        Refusal.of(Reason.BODY_TOO_LARGE, "the body may have " + maximumBytes + " bytes"));
+  }
+
+  private static String digest(byte[] bytes) {
+    try {
+      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java runtime provides SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyResult.java
@@ -0,0 +1,12 @@
+package org.kumquatvane.http.internal;
+
+import org.kumquatvane.engine.Refusal;
+
+/** Outcome of preparing a request body. */
+sealed interface BodyResult {
+  /** The body can be sent. */
+  record Ready(CallerBody body) implements BodyResult {}
+
+  /** The request is refused because of its body. */
+  record Refused(Refusal refusal) implements BodyResult {}
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CallerService.java
@@ -0,0 +1,200 @@
+package org.kumquatvane.http.internal;
+
+import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
+import static io.servicetalk.concurrent.api.SourceAdapters.toSource;
+
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Processors;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaderValues;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
+import java.util.function.BooleanSupplier;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Counters;
+import org.kumquatvane.core.InvariantMonitor;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.core.RequestId;
+import org.kumquatvane.core.WorkerPool;
+import org.kumquatvane.engine.Authorization;
+import org.kumquatvane.engine.AuthorizedRequest;
+import org.kumquatvane.engine.CallerRequest;
+import org.kumquatvane.engine.Refusal;
+import org.kumquatvane.engine.RequestEngine;
+import org.kumquatvane.http.BackendConnections;
+import org.kumquatvane.http.BodyLimits;
+
+/** Hands each request of a caller to the engine, on the worker pool. */
+public final class CallerService implements StreamingHttpService {
+  private final RequestEngine engine;
+  private final WorkerPool workers;
+  private final BackendConnections connections;
+  private final Counters counters;
+  private final InvariantMonitor monitor;
+  private final HeadReader heads;
+  private final BodyReader bodies;
+  private final BufferBudget budget;
+  private final BooleanSupplier isDraining;
+
+  /**
+   * Creates the service.
+   *
+   * @param engine decides about requests
+   * @param workers runs decisions
+   * @param connections connections to backend servers
+   * @param limits sizes of heads and bodies
+   * @param clock time of arrival
+   * @param counters counts refusals of this module
+   * @param monitor receives violations
+   * @param isDraining whether callers are to open new connections elsewhere
+   */
+  public CallerService(
+      RequestEngine engine,
+      WorkerPool workers,
+      BackendConnections connections,
+      BodyLimits limits,
+      Clock clock,
+      Counters counters,
+      InvariantMonitor monitor,
+      BooleanSupplier isDraining) {
+    this.engine = engine;
+    this.workers = workers;
+    this.connections = connections;
+    this.counters = counters;
+    this.monitor = monitor;
+    this.isDraining = isDraining;
+    heads = new HeadReader(clock, limits);
+    budget = new BufferBudget(limits.maximumBufferedBytes());
+    bodies = new BodyReader(limits, budget);
+  }
+
+  @Override
+  public Single<StreamingHttpResponse> handle(
+      HttpServiceContext context,
+      StreamingHttpRequest request,
+      StreamingHttpResponseFactory responses) {
+    HeadReader.Head head = heads.read(request);
+    if (head instanceof HeadReader.Head.Invalid invalid) {
+      counters.count(invalid.refusal().reason());
+      return Single.succeeded(
+          refuse(context, request, responses, invalid.requestId(), invalid.refusal()));
+    }
+    CallerRequest valid = ((HeadReader.Head.Valid) head).request();
+    SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> answer =
+        Processors.newSingleProcessor();
+    Conversation conversation = new Conversation(context, request, responses, valid, answer);
+    if (!workers.offer(conversation::authorize)) {
+      counters.count(Reason.OVERLOADED);
+      Refusal refusal = Refusal.of(Reason.OVERLOADED, "the worker queue of this VM is full");
+      return Single.succeeded(refuse(context, request, responses, valid.id(), refusal));
+    }
+    return fromSource(answer).beforeCancel(conversation::callerLeft);
+  }
+
+  private StreamingHttpResponse refuse(
+      HttpServiceContext context,
+      StreamingHttpRequest request,
+      StreamingHttpResponseFactory responses,
+      RequestId id,
+      Refusal refusal) {
+    StreamingHttpResponse response =
+        ProblemAnswers.write(responses, context.executionContext().bufferAllocator(), id, refusal);
+    if (Bodies.hasBody(request.headers())) {
+      // The rest of a refused body is not worth reading, and it must not be taken for a request.
+      response.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    return closeIfDraining(response);
+  }
+
+  private StreamingHttpResponse closeIfDraining(StreamingHttpResponse response) {
+    return isDraining.getAsBoolean()
+        ? response.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        : response;
+  }
+
+  /** The steps of one request before the engine runs it. */
+  private final class Conversation {
+    private final HttpServiceContext context;
+    private final StreamingHttpRequest request;
+    private final StreamingHttpResponseFactory responses;
+    private final CallerRequest head;
+    private final SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> answer;
+    private final HttpExchange exchange;
+
+    private Conversation(
+        HttpServiceContext context,
+        StreamingHttpRequest request,
+        StreamingHttpResponseFactory responses,
+        CallerRequest head,
+        SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> answer) {
+      this.context = context;
+      this.request = request;
+      this.responses = responses;
+      this.head = head;
+      this.answer = answer;
+      exchange =
+          new HttpExchange(
+              request,
+              responses,
+              context.executionContext().bufferAllocator(),
+              head.id(),
+              connections,
+              monitor,
+              response -> answer.onSuccess(closeIfDraining(response)));
+    }
+
+    private void authorize() {
+      Authorization authorization = engine.authorize(head);
+      if (authorization instanceof Authorization.Denied denied) {
+        deny(denied.refusal());
+        return;
+      }
+      AuthorizedRequest granted = ((Authorization.Granted) authorization).request();
+      toSource(bodies.read(request, granted.route(), context.executionContext().bufferAllocator()))
+          .subscribe(
+              new SingleSource.Subscriber<BodyResult>() {
+                @Override
+                public void onSubscribe(Cancellable cancellable) {
+                  exchange.setBodyReading(cancellable);
+                }
+
+                @Override
+                public void onSuccess(BodyResult result) {
+                  workers.resume(() -> run(granted, result));
+                }
+
+                @Override
+                public void onError(Throwable failure) {
+                  // The caller's connection broke before its body was whole; nobody reads an
+                  // answer.
+                  counters.add("requests.abandoned", 1);
+                  deny(Refusal.of(Reason.REQUEST_MALFORMED, "the body ended early"));
+                }
+              });
+    }
+
+    private void run(AuthorizedRequest granted, BodyResult result) {
+      if (result instanceof BodyResult.Refused refused) {
+        counters.count(refused.refusal().reason());
+        deny(refused.refusal());
+        return;
+      }
+      CallerBody body = ((BodyResult.Ready) result).body();
+      exchange.setBody(body, () -> budget.release(body.reservedBytes()));
+      exchange.setRunning(engine.run(granted, body.description(), exchange));
+    }
+
+    private void deny(Refusal refusal) {
+      answer.onSuccess(refuse(context, request, responses, head.id(), refusal));
+    }
+
+    private void callerLeft() {
+      exchange.callerLeft();
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HttpExchange.java
@@ -0,0 +1,215 @@
+package org.kumquatvane.http.internal;
+
+import static io.servicetalk.concurrent.api.Publisher.defer;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpRequestFactory;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.ExecutionStatus;
+import org.kumquatvane.core.Invariant;
+import org.kumquatvane.core.InvariantMonitor;
+import org.kumquatvane.core.RequestId;
+import org.kumquatvane.engine.Attempt;
+import org.kumquatvane.engine.AttemptListener;
+import org.kumquatvane.engine.AttemptPlan;
+import org.kumquatvane.engine.Exchange;
+import org.kumquatvane.engine.Refusal;
+import org.kumquatvane.engine.RunningRequest;
+import org.kumquatvane.http.BackendConnections;
+import org.kumquatvane.operations.AnswerHeader;
+import org.kumquatvane.operations.RecordedAnswer;
+
+/** One request of a caller over HTTP, with its attempts at backend servers. */
+final class HttpExchange implements Exchange {
+  private final StreamingHttpRequest request;
+  private final StreamingHttpResponseFactory responses;
+  private final BufferAllocator allocator;
+  private final RequestId requestId;
+  private final BackendConnections connections;
+  private final InvariantMonitor monitor;
+  private final Consumer<StreamingHttpResponse> answer;
+  private final AtomicBoolean bodyReleased = new AtomicBoolean();
+  private volatile @Nullable CallerBody body;
+  private volatile @Nullable Runnable releaseBody;
+  private volatile @Nullable Cancellable bodyReading;
+  private volatile @Nullable RunningRequest running;
+  private volatile @Nullable AnswerRelay relay;
+  private volatile boolean callerLeft;
+
+  HttpExchange(
+      StreamingHttpRequest request,
+      StreamingHttpResponseFactory responses,
+      BufferAllocator allocator,
+      RequestId requestId,
+      BackendConnections connections,
+      InvariantMonitor monitor,
+      Consumer<StreamingHttpResponse> answer) {
+    this.request = request;
+    this.responses = responses;
+    this.allocator = allocator;
+    this.requestId = requestId;
+    this.connections = connections;
+    this.monitor = monitor;
+    this.answer = answer;
+  }
+
+  void setBodyReading(Cancellable cancellable) {
+    bodyReading = cancellable;
+    if (callerLeft) {
+      cancellable.cancel();
+    }
+  }
+
+  void setBody(CallerBody ready, Runnable release) {
+    bodyReading = null;
+    body = ready;
+    releaseBody = release;
+  }
+
+  void setRunning(RunningRequest started) {
+    running = started;
+    if (callerLeft) {
+      started.callerLeft();
+    }
+  }
+
+  void callerLeft() {
+    callerLeft = true;
+    Cancellable reading = bodyReading;
+    if (reading != null) {
+      reading.cancel();
+    }
+    RunningRequest started = running;
+    if (started != null) {
+      started.callerLeft();
+    }
+    AnswerRelay delivering = relay;
+    if (delivering != null) {
+      delivering.drainUnlessSubscribed();
+    }
+  }
+
+  @Override
+  public void refuse(Refusal refusal) {
+    endBody();
+    answer.accept(ProblemAnswers.write(responses, allocator, requestId, refusal));
+  }
+
+  @Override
+  public void replay(RecordedAnswer recorded) {
+    endBody();
+    StreamingHttpResponse response =
+        responses.newResponse(HttpResponseStatus.of(recorded.status(), ""));
+    for (AnswerHeader header : recorded.headers()) {
+      response.addHeader(header.name(), header.value());
+    }
+    byte[] bytes = recorded.body();
+    stamp(response, ExecutionStatus.RUN, 0);
+    response.setHeader(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bytes.length));
+    answer.accept(response.payloadBody(Publisher.from(allocator.wrap(bytes))));
+  }
+
+  @Override
+  public Attempt attempt(AttemptPlan plan, AttemptListener listener) {
+    BackendAttempt attempt = new BackendAttempt(this, connections, plan, listener);
+    attempt.start();
+    return attempt;
+  }
+
+  boolean isHeadRequest() {
+    return request.method().equals(HttpRequestMethod.HEAD);
+  }
+
+  /**
+   * Builds the request for a backend server.
+   *
+   * @param factory creates the request
+   * @param plan the attempt
+   * @param remainingMillis time that the backend server has
+   * @return the request, without the caller's key
+   */
+  StreamingHttpRequest backendRequest(
+      StreamingHttpRequestFactory factory, AttemptPlan plan, long remainingMillis) {
+    StreamingHttpRequest outgoing = factory.newRequest(request.method(), request.requestTarget());
+    HttpHeaders headers = outgoing.headers();
+    for (Map.Entry<CharSequence, CharSequence> field : request.headers()) {
+      if (HeaderNames.isForwardedToBackend(field.getKey())) {
+        headers.add(field.getKey(), field.getValue());
+      }
+    }
+    headers.set(HeaderNames.REQUEST_ID, plan.request().value());
+    headers.set(HeaderNames.WORKSPACE, plan.workspace().value());
+    headers.set(HeaderNames.TIMEOUT_MILLIS, Long.toString(Math.max(1, remainingMillis)));
+    checkNoKey(outgoing);
+    CallerBody sent = body;
+    if (sent == null || sent.declaredLength() == 0) {
+      if (request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, "0");
+      }
+      return outgoing;
+    }
+    if (sent.declaredLength() > 0) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, Long.toString(sent.declaredLength()));
+    }
+    return outgoing.payloadBody(sent.bytes());
+  }
+
+  private void checkNoKey(StreamingHttpRequest outgoing) {
+    boolean hasKey = CallerKeys.mayContainKey(outgoing.requestTarget());
+    for (Map.Entry<CharSequence, CharSequence> field : outgoing.headers()) {
+      hasKey |= CallerKeys.mayContainKey(field.getKey());
+      hasKey |= CallerKeys.mayContainKey(field.getValue());
+    }
+    monitor.check(Invariant.KEY_NOT_FORWARDED, !hasKey, "request=" + requestId);
+  }
+
+  /**
+   * Passes the answer of a backend server on.
+   *
+   * @param upstream the answer
+   * @param attempts attempts made
+   * @param delivering relays the body
+   */
+  void deliver(StreamingHttpResponse upstream, int attempts, AnswerRelay delivering) {
+    StreamingHttpResponse response = responses.newResponse(upstream.status());
+    for (Map.Entry<CharSequence, CharSequence> field : upstream.headers()) {
+      if (HeaderNames.isForwardedToCaller(field.getKey())) {
+        response.headers().add(field.getKey(), field.getValue());
+      }
+    }
+    stamp(response, ExecutionStatus.RUN, attempts);
+    Publisher<Buffer> bytes = defer(delivering::subscribeOnce);
+    relay = delivering;
+    answer.accept(response.payloadBody(bytes));
+    if (callerLeft) {
+      delivering.drainUnlessSubscribed();
+    }
+  }
+
+  private void stamp(StreamingHttpResponse response, ExecutionStatus execution, int attempts) {
+    response.setHeader(HeaderNames.EXECUTION, execution.token());
+    response.setHeader(HeaderNames.REQUEST_ID, requestId.value());
+    response.setHeader(HeaderNames.ATTEMPTS, Integer.toString(attempts));
+  }
+
+  /** Gives the memory of the body back; no further attempt can follow. */
+  void endBody() {
+    Runnable release = releaseBody;
+    if (release != null && bodyReleased.compareAndSet(false, true)) {
+      release.run();
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/PercentEncoding.java
@@ -0,0 +1,57 @@
+package org.kumquatvane.http.internal;
+
+/** Percent-decoding that never fails, for checks only. */
+final class PercentEncoding {
+  /** A value encoded more often than this is not decoded further; no server does so. */
+  private static final int MAXIMUM_ROUNDS = 3;
+
+  private static final int HEXADECIMAL = 16;
+
+  private PercentEncoding() {}
+
+  /**
+   * Decodes a text until nothing changes. Malformed sequences stay as they are.
+   *
+   * @param text any text
+   * @return the decoded text
+   */
+  static String decodeFully(String text) {
+    String decoded = text;
+    for (int round = 0; round < MAXIMUM_ROUNDS; round++) {
+      String next = decodeOnce(decoded);
+      if (next.equals(decoded)) {
+        return decoded;
+      }
+      decoded = next;
+    }
+    return decoded;
+  }
+
+  /**
+   * Decodes each well-formed sequence once, byte by byte.
+   *
+   * @param text any text
+   * @return the decoded text
+   */
+  static String decodeOnce(String text) {
+    StringBuilder decoded = new StringBuilder(text.length());
+    int position = 0;
+    while (position < text.length()) {
+      char character = text.charAt(position);
+      int high = character == '%' ? digit(text, position + 1) : -1;
+      int low = character == '%' ? digit(text, position + 2) : -1;
+      if (high >= 0 && low >= 0) {
+        decoded.append((char) (high * HEXADECIMAL + low));
+        position += 3;
+      } else {
+        decoded.append(character);
+        position++;
+      }
+    }
+    return decoded.toString();
+  }
+
+  private static int digit(String text, int position) {
+    return position < text.length() ? Character.digit(text.charAt(position), HEXADECIMAL) : -1;
+  }
+}
--- /dev/null
+++ b/kumquatvane-telemetry/src/main/java/org/kumquatvane/telemetry/LogSetup.java
@@ -0,0 +1,72 @@
+package org.kumquatvane.telemetry;
+
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.kumquatvane.core.LogField;
+
+/** Sends all logs of the process, also those of libraries, to standard error in one form. */
+public final class LogSetup {
+  private static final String OWN_PREFIX = "event=";
+
+  private LogSetup() {}
+
+  /**
+   * Installs the handler; call once, at the start of the process.
+   *
+   * @param vm name of the VM for each line
+   */
+  public static void install(String vm) {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    ConsoleHandler handler = new ConsoleHandler();
+    handler.setLevel(Level.INFO);
+    handler.setFormatter(new LineFormatter(vm));
+    root.addHandler(handler);
+    // Libraries report each broken connection as a warning, which is normal work for a proxy.
+    Logger.getLogger("io.servicetalk").setLevel(Level.SEVERE);
+    Logger.getLogger("io.netty").setLevel(Level.SEVERE);
+  }
+
+  private static final class LineFormatter extends Formatter {
+    private final String vm;
+
+    private LineFormatter(String vm) {
+      this.vm = vm;
+    }
+
+    @Override
+    public String format(LogRecord record) {
+      String message = formatMessage(record);
+      String body =
+          message.startsWith(OWN_PREFIX)
+              ? message
+              : KeyValueLine.format(
+                  "library_log",
+                  LogField.of("logger", record.getLoggerName()),
+                  LogField.of("message", message),
+                  LogField.of("error", record.getThrown()));
+      String level = record.getLevel().equals(Level.FINE) ? "debug" : lowerCase(record.getLevel());
+      return "time="
+          + Instant.ofEpochMilli(record.getMillis()).truncatedTo(ChronoUnit.MILLIS)
+          + " level="
+          + level
+          + " vm="
+          + KeyValueLine.escape(vm)
+          + " "
+          + body
+          + System.lineSeparator();
+    }
+
+    private static String lowerCase(Level level) {
+      return level.getName().toLowerCase(java.util.Locale.ROOT);
+    }
+  }
+}
