--- /dev/null
+++ b/kumquatvane-documents/src/main/java/org/kumquatvane/documents/DocumentParser.java
@@ -0,0 +1,146 @@
+package org.kumquatvane.documents;
+
+import java.util.List;
+import java.util.Optional;
+import org.kumquatvane.document.FleetPolicy;
+import org.kumquatvane.document.LimitMechanism;
+import org.kumquatvane.documents.internal.DocumentDraft;
+import org.kumquatvane.documents.internal.Sha256;
+import org.kumquatvane.json.FaultCollector;
+import org.kumquatvane.json.JsonLimits;
+import org.kumquatvane.json.JsonReader;
+import org.kumquatvane.json.JsonValue;
+import org.kumquatvane.json.ObjectReader;
+import org.kumquatvane.json.TextForm;
+
+/**
+ * Reads the operators' document from bytes.
+ *
+ * <p>The bytes name no address, so the same bytes are valid in trial and in production. A document
+ * that does not fit one platform value names fragments, each with its digest; the digest of the
+ * main bytes therefore covers the whole document.
+ */
+public final class DocumentParser {
+  /** Largest generation: the largest integer that every JSON tool keeps exactly. */
+  public static final long MAXIMUM_GENERATION = 9_007_199_254_740_991L;
+
+  /**
+   * Most fragments of one document. 1 million workspaces of about 150 bytes and 200,000 routes of
+   * about 250 bytes fill about 200 values of one megabyte.
+   */
+  public static final int MAXIMUM_FRAGMENTS = 512;
+
+  private static final int MAXIMUM_VM_COUNT = 10_000;
+  private static final String FRAGMENTS = "fragments";
+
+  private final JsonReader reader = new JsonReader(JsonLimits.STANDARD);
+
+  /**
+   * Reads a document.
+   *
+   * @param source name of the file or platform value, for messages
+   * @param bytes the main bytes
+   * @param fragments gives the bytes of the fragments that the main bytes name
+   * @return the document, or everything that is wrong with it
+   */
+  public DocumentResult parse(String source, byte[] bytes, FragmentSource fragments) {
+    FaultCollector faults = new FaultCollector();
+    Optional<JsonValue> root = reader.read(source, bytes, faults);
+    if (root.isEmpty()) {
+      return new DocumentResult.Invalid(faults.faults());
+    }
+    ObjectReader main = ObjectReader.ofRoot(source, root.get(), faults);
+    final long generation = main.integer("generation", 1, MAXIMUM_GENERATION);
+    final FleetPolicy fleet = readFleet(main);
+    DocumentDraft draft = new DocumentDraft(faults);
+    draft.readParts(main);
+    if (main.has(FRAGMENTS)) {
+      readFragments(main, fragments, draft, faults);
+    }
+    main.finish();
+    draft.checkReferences();
+    if (!faults.isEmpty()) {
+      return new DocumentResult.Invalid(faults.faults());
+    }
+    return new DocumentResult.Parsed(draft.build(generation, Sha256.hex(bytes), fleet));
+  }
+
+  /**
+   * Reads only which fragments a document names, so that a caller can fetch them first.
+   *
+   * @param bytes the main bytes
+   * @return the references; empty if there are none or the bytes are not valid, which {@link
+   *     #parse} reports
+   */
+  public List<FragmentReference> fragmentReferences(byte[] bytes) {
+    FaultCollector faults = new FaultCollector();
+    return reader
+        .read("document", bytes, faults)
+        .map(root -> readReferences(ObjectReader.ofRoot("document", root, faults)))
+        .filter(references -> faults.isEmpty() && references.size() <= MAXIMUM_FRAGMENTS)
+        .orElse(List.of());
+  }
+
+  private static FleetPolicy readFleet(ObjectReader main) {
+    return main.requiredObject("fleet")
+        .map(
+            fleet -> {
+              int maximumVmCount = (int) fleet.integer("maximumVmCount", 1, MAXIMUM_VM_COUNT);
+              LimitMechanism mechanism =
+                  fleet.choice("limitMechanism", LimitMechanism.LEASED_SHARES);
+              fleet.finish();
+              return new FleetPolicy(maximumVmCount, mechanism);
+            })
+        .orElse(new FleetPolicy(1, LimitMechanism.LEASED_SHARES));
+  }
+
+  private static List<FragmentReference> readReferences(ObjectReader main) {
+    return main.objects(
+        FRAGMENTS,
+        entry ->
+            new FragmentReference(
+                entry.text("name", TextForm.NAME), entry.text("sha256", TextForm.SHA256)));
+  }
+
+  private void readFragments(
+      ObjectReader main, FragmentSource fragments, DocumentDraft draft, FaultCollector faults) {
+    List<FragmentReference> references = readReferences(main);
+    if (references.size() > MAXIMUM_FRAGMENTS) {
+      main.fault(
+          FRAGMENTS,
+          references.size() + " fragments are named",
+          "name at most " + MAXIMUM_FRAGMENTS);
+      return;
+    }
+    if (references.stream().map(FragmentReference::name).distinct().count() < references.size()) {
+      main.fault(FRAGMENTS, "a fragment is named twice", "name each fragment once");
+      return;
+    }
+    for (FragmentReference reference : references) {
+      Optional<byte[]> bytes = fragments.fragment(reference);
+      if (bytes.isEmpty()) {
+        main.fault(
+            FRAGMENTS,
+            "fragment " + reference.name() + " is not available",
+            "publish it before the document that names it");
+      } else if (!Sha256.hex(bytes.get()).equals(reference.sha256())) {
+        main.fault(
+            FRAGMENTS,
+            "fragment " + reference.name() + " has another digest than the document states",
+            "state " + Sha256.hex(bytes.get()) + " or restore the fragment's bytes");
+      } else {
+        // One tree at a time, so that memory for trees is bounded by one platform value.
+        reader
+            .read(reference.name(), bytes.get(), faults)
+            .ifPresent(root -> readFragment(reference.name(), root, draft, faults));
+      }
+    }
+  }
+
+  private static void readFragment(
+      String name, JsonValue root, DocumentDraft draft, FaultCollector faults) {
+    ObjectReader fragment = ObjectReader.ofRoot(name, root, faults);
+    draft.readParts(fragment);
+    fragment.finish();
+  }
+}
--- /dev/null
+++ b/kumquatvane-documents/src/main/java/org/kumquatvane/documents/internal/RouteReader.java
@@ -0,0 +1,142 @@
+package org.kumquatvane.documents.internal;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.kumquatvane.core.RouteId;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.document.IdempotencyKeyRule;
+import org.kumquatvane.document.Route;
+import org.kumquatvane.json.Located;
+import org.kumquatvane.json.ObjectReader;
+import org.kumquatvane.json.TextForm;
+
+/** Reads routes. docs/configuration.md gives the reason for each default. */
+final class RouteReader {
+  private static final TextForm METHOD =
+      TextForm.of(
+          "GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS",
+          "that is one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS");
+
+  /**
+   * Segments hold unreserved characters and sub-delimiters of RFC 3986 and {@code :}, {@code @}.
+   */
+  private static final TextForm PATH =
+      TextForm.of(
+          "/[A-Za-z0-9._~!$&'()*+,;=:@/-]{0,1023}",
+          "that is an absolute path without query, percent signs or spaces");
+
+  /** Methods that RFC 9110 defines as safe: they ask for no change. */
+  private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+
+  private static final long DEFAULT_MAXIMUM_BODY_BYTES = 65_536;
+  private static final long MAXIMUM_BODY_BYTES = 1L << 40;
+  private static final long MAXIMUM_TIMEOUT_MILLIS = 3_600_000;
+  private static final String METHODS = "methods";
+  private static final String WORKSPACES = "workspaces";
+
+  private RouteReader() {}
+
+  static Route read(ObjectReader reader, Consumer<Located<WorkspaceId>> references) {
+    RouteId id = new RouteId(reader.text("name", TextForm.NAME));
+    ServiceName service = new ServiceName(reader.text("service", TextForm.NAME));
+    Set<String> methods = readMethods(reader);
+    String path = readPath(reader);
+    boolean safe = !methods.isEmpty() && SAFE_METHODS.containsAll(methods);
+    boolean idempotent = reader.truth("idempotent", safe);
+    if (!idempotent && methods.stream().anyMatch(SAFE_METHODS::contains)) {
+      reader.fault(
+          "idempotent",
+          "GET, HEAD and OPTIONS change nothing, so they are idempotent",
+          "set it to true, or move these methods to a route of their own");
+    }
+    IdempotencyKeyRule rule =
+        reader.choice(
+            "idempotencyKey",
+            idempotent ? IdempotencyKeyRule.IGNORED : IdempotencyKeyRule.REQUIRED);
+    if (idempotent && rule != IdempotencyKeyRule.IGNORED) {
+      reader.fault(
+          "idempotencyKey",
+          "operations are recorded on routes that are not idempotent only",
+          "set it to ignored, or idempotent to false");
+    }
+    boolean open = reader.truth("open", false);
+    List<WorkspaceId> workspaces = readWorkspaces(reader, open, references);
+    return new Route(
+        id,
+        service,
+        methods,
+        path,
+        idempotent,
+        rule,
+        open,
+        workspaces,
+        Duration.ofMillis(reader.integer("timeoutMillis", 1, MAXIMUM_TIMEOUT_MILLIS)),
+        reader.integer("maximumBodyBytes", 0, MAXIMUM_BODY_BYTES, DEFAULT_MAXIMUM_BODY_BYTES));
+  }
+
+  private static Set<String> readMethods(ObjectReader reader) {
+    Set<String> methods = new LinkedHashSet<>();
+    List<Located<String>> written = reader.texts(METHODS, METHOD);
+    written.forEach(method -> methods.add(method.value()));
+    if (methods.size() < written.size()) {
+      reader.fault(METHODS, "a method is named twice", "name each method once");
+    }
+    if (!reader.has(METHODS)) {
+      reader.fault(METHODS, "the field is missing", "add it with at least one method");
+    } else if (written.isEmpty()) {
+      reader.fault(METHODS, "there is no valid method", "name at least one method");
+    }
+    return methods;
+  }
+
+  private static String readPath(ObjectReader reader) {
+    String path = reader.text("path", PATH);
+    if (path.isEmpty()) {
+      return path;
+    }
+    String[] segments = path.substring(1).split("/", -1);
+    for (int i = 0; i < segments.length; i++) {
+      boolean last = i == segments.length - 1;
+      String segment = segments[i];
+      if (segment.equals("**") ? !last : segment.contains("*") && !segment.equals("*")) {
+        reader.fault(
+            "path",
+            "an asterisk stands in the wrong place",
+            "use * for one whole segment and ** as the last segment only");
+        return path;
+      }
+      if (segment.equals(".") || segment.equals("..") || (segment.isEmpty() && !last)) {
+        reader.fault(
+            "path",
+            "it has an empty segment, . or .., which requests never match",
+            "write the path in its normal form");
+        return path;
+      }
+    }
+    return path;
+  }
+
+  private static List<WorkspaceId> readWorkspaces(
+      ObjectReader reader, boolean open, Consumer<Located<WorkspaceId>> references) {
+    List<WorkspaceId> workspaces = new ArrayList<>();
+    for (Located<String> text : reader.texts(WORKSPACES, TextForm.NAME)) {
+      WorkspaceId id = new WorkspaceId(text.value());
+      workspaces.add(id);
+      references.accept(new Located<>(id, text.place()));
+    }
+    if (open && !workspaces.isEmpty()) {
+      reader.fault(
+          WORKSPACES, "an open route admits every workspace", "remove it or set open to false");
+    }
+    if (!open && workspaces.isEmpty()) {
+      reader.fault(
+          WORKSPACES, "no workspace may use the route", "name workspaces or set open to true");
+    }
+    return workspaces;
+  }
+}
--- /dev/null
+++ b/kumquatvane-documents/src/main/java/org/kumquatvane/documents/internal/WorkspaceReader.java
@@ -0,0 +1,40 @@
+package org.kumquatvane.documents.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.kumquatvane.core.KeyDigest;
+import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.document.RateLimit;
+import org.kumquatvane.document.Workspace;
+import org.kumquatvane.json.Located;
+import org.kumquatvane.json.ObjectReader;
+import org.kumquatvane.json.TextForm;
+
+/** Reads workspaces. */
+final class WorkspaceReader {
+  /** One request in about 17 minutes; a lower rate would be a withdrawal in disguise. */
+  private static final double MINIMUM_RATE_PER_SECOND = 0.001;
+
+  /** The whole fleet is sized for 1.8 million requests a second. */
+  private static final double MAXIMUM_RATE_PER_SECOND = 2_000_000;
+
+  private static final double MAXIMUM_BURST_REQUESTS = 10_000_000;
+
+  private WorkspaceReader() {}
+
+  static Workspace read(ObjectReader reader, Consumer<Located<KeyDigest>> keys) {
+    WorkspaceId id = new WorkspaceId(reader.text("name", TextForm.NAME));
+    List<KeyDigest> digests = new ArrayList<>();
+    for (Located<String> text : reader.texts("keySha256", TextForm.SHA256)) {
+      KeyDigest digest = KeyDigest.ofHex(text.value());
+      keys.accept(new Located<>(digest, text.place()));
+      digests.add(digest);
+    }
+    RateLimit rate =
+        new RateLimit(
+            reader.decimal("ratePerSecond", MINIMUM_RATE_PER_SECOND, MAXIMUM_RATE_PER_SECOND),
+            reader.decimal("burstRequests", 1, MAXIMUM_BURST_REQUESTS));
+    return new Workspace(id, digests, rate);
+  }
+}
--- /dev/null
+++ b/kumquatvane-documents/src/main/java/org/kumquatvane/documents/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Reads the parts of a document. */
+@NullMarked
+package org.kumquatvane.documents.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/EnumNames.java
@@ -0,0 +1,23 @@
+package org.kumquatvane.json;
+
+import java.util.Locale;
+
+/** Written form of enumeration constants. */
+public final class EnumNames {
+  private EnumNames() {}
+
+  /**
+   * Converts a constant's name to lower camel case, {@code TWO_CHOICES} to {@code twoChoices}.
+   *
+   * @param constant the constant
+   * @return the name in the inputs
+   */
+  public static String written(Enum<?> constant) {
+    StringBuilder written = new StringBuilder();
+    for (String word : constant.name().toLowerCase(Locale.ROOT).split("_")) {
+      written.append(
+          written.isEmpty() ? word : Character.toUpperCase(word.charAt(0)) + word.substring(1));
+    }
+    return written.toString();
+  }
+}
--- /dev/null
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonReader.java
@@ -0,0 +1,223 @@
+package org.kumquatvane.json;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharsetDecoder;
+import java.nio.charset.CoderResult;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.kumquatvane.json.JsonValue.JsonArray;
+import org.kumquatvane.json.JsonValue.JsonBoolean;
+import org.kumquatvane.json.JsonValue.JsonNull;
+import org.kumquatvane.json.JsonValue.JsonNumber;
+import org.kumquatvane.json.JsonValue.JsonObject;
+import org.kumquatvane.json.JsonValue.JsonText;
+
+/**
+ * Reads UTF-8 JSON with {@code //} and {@code /* *}{@code /} comments into a tree of located
+ * values.
+ *
+ * <p>Everything else outside RFC 8259 is a fault. Duplicate names are collected as faults and
+ * reading continues; a syntax error ends it.
+ */
+public final class JsonReader {
+  private static final String SYNTAX_REMEDY =
+      "correct the syntax here; what follows was not checked";
+
+  private final JsonLimits limits;
+  private final JsonFactory factory;
+
+  /**
+   * Creates a reader.
+   *
+   * @param limits bounds of each input
+   */
+  public JsonReader(JsonLimits limits) {
+    this.limits = limits;
+    this.factory =
+        new JsonFactoryBuilder()
+            .streamReadConstraints(
+                StreamReadConstraints.builder()
+                    .maxNestingDepth(limits.maximumDepth())
+                    .maxStringLength(limits.maximumTextLength())
+                    .maxNameLength(limits.maximumTextLength())
+                    .maxNumberLength(100)
+                    .build())
+            .configure(JsonReadFeature.ALLOW_JAVA_COMMENTS, true)
+            // Interning would keep names of untrusted inputs for the life of the process.
+            .configure(JsonFactory.Feature.INTERN_FIELD_NAMES, false)
+            .build();
+  }
+
+  /**
+   * Reads one input.
+   *
+   * @param source name of the file or platform value, for messages
+   * @param bytes the input
+   * @param faults receives what is wrong
+   * @return the root, or empty if no complete value could be read
+   */
+  public Optional<JsonValue> read(String source, byte[] bytes, FaultCollector faults) {
+    Place start = new Place(source, 1, 1, JsonPath.ROOT);
+    if (bytes.length > limits.maximumBytes()) {
+      faults.add(
+          start,
+          "the input has " + bytes.length + " bytes, more than " + limits.maximumBytes(),
+          "split it or remove what is not needed");
+      return Optional.empty();
+    }
+    Optional<CharBuffer> decoded = decode(source, bytes, faults);
+    if (decoded.isEmpty()) {
+      return Optional.empty();
+    }
+    CharBuffer text = decoded.get();
+    if (text.length() > 0 && text.charAt(0) == '\uFEFF') {
+      faults.add(start, "the input starts with a byte order mark", "save it as plain UTF-8");
+      return Optional.empty();
+    }
+    try (JsonParser parser = factory.createParser(text.array(), 0, text.length())) {
+      return new Walk(source, parser, faults).readRoot();
+    } catch (IOException e) {
+      throw new UncheckedIOException("reading from memory does no input or output", e);
+    }
+  }
+
+  private static Optional<CharBuffer> decode(String source, byte[] bytes, FaultCollector faults) {
+    CharsetDecoder decoder =
+        StandardCharsets.UTF_8
+            .newDecoder()
+            .onMalformedInput(CodingErrorAction.REPORT)
+            .onUnmappableCharacter(CodingErrorAction.REPORT);
+    ByteBuffer input = ByteBuffer.wrap(bytes);
+    // UTF-8 never yields more code units than bytes.
+    CharBuffer output = CharBuffer.allocate(bytes.length);
+    CoderResult result = decoder.decode(input, output, true);
+    output.flip();
+    if (!result.isError()) {
+      return Optional.of(output);
+    }
+    int line = 1;
+    int column = 1;
+    for (int i = 0; i < output.length(); i++) {
+      boolean lineEnd = output.charAt(i) == '\n';
+      line += lineEnd ? 1 : 0;
+      column = lineEnd ? 1 : column + 1;
+    }
+    faults.add(
+        new Place(source, line, column, JsonPath.ROOT),
+        "the bytes here are not UTF-8",
+        "save the input as UTF-8");
+    return Optional.empty();
+  }
+
+  /** One pass over one input. */
+  private static final class Walk {
+    private final String source;
+    private final JsonParser parser;
+    private final FaultCollector faults;
+
+    private Walk(String source, JsonParser parser, FaultCollector faults) {
+      this.source = source;
+      this.parser = parser;
+      this.faults = faults;
+    }
+
+    private Optional<JsonValue> readRoot() throws IOException {
+      try {
+        JsonToken first = parser.nextToken();
+        if (first == null) {
+          faults.add(
+              new Place(source, 1, 1, JsonPath.ROOT), "the input is empty", "write one object");
+          return Optional.empty();
+        }
+        JsonValue root = read(first, JsonPath.ROOT);
+        if (parser.nextToken() != null) {
+          faults.add(
+              place(parser.currentTokenLocation(), JsonPath.ROOT),
+              "there is more after the end of the value",
+              "remove what follows");
+        }
+        return Optional.of(root);
+      } catch (JsonProcessingException e) {
+        JsonLocation location = e.getLocation();
+        faults.add(
+            place(location == null ? parser.currentLocation() : location, JsonPath.ROOT),
+            message(e),
+            SYNTAX_REMEDY);
+        return Optional.empty();
+      }
+    }
+
+    private static String message(JsonProcessingException failure) {
+      String original = failure.getOriginalMessage();
+      // The library quotes the word, which may be a secret that lacks its quotation marks.
+      return original.startsWith("Unrecognized token")
+          ? "a word without quotation marks is not a value"
+          : JsonPath.printable(original.lines().findFirst().orElse("syntax error"));
+    }
+
+    private Place place(JsonLocation location, JsonPath path) {
+      return new Place(
+          source, Math.max(1, location.getLineNr()), Math.max(1, location.getColumnNr()), path);
+    }
+
+    /** Recursion is bounded by the nesting limit of the parser. */
+    private JsonValue read(JsonToken token, JsonPath path) throws IOException {
+      JsonLocation location = parser.currentTokenLocation();
+      int line = location.getLineNr();
+      int column = location.getColumnNr();
+      return switch (token) {
+        case START_OBJECT -> readObject(line, column, path);
+        case START_ARRAY -> readArray(line, column, path);
+        case VALUE_STRING -> new JsonText(line, column, parser.getText());
+        case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new JsonNumber(line, column, parser.getText());
+        case VALUE_TRUE -> new JsonBoolean(line, column, true);
+        case VALUE_FALSE -> new JsonBoolean(line, column, false);
+        case VALUE_NULL -> new JsonNull(line, column);
+        default -> throw new IllegalStateException("the parser never yields " + token + " here");
+      };
+    }
+
+    private JsonObject readObject(int line, int column, JsonPath path) throws IOException {
+      List<JsonValue.Member> members = new ArrayList<>();
+      Set<String> names = new HashSet<>();
+      while (parser.nextToken() != JsonToken.END_OBJECT) {
+        String name = parser.currentName();
+        JsonPath memberPath = path.member(name);
+        Place place = place(parser.currentTokenLocation(), memberPath);
+        JsonValue value = read(parser.nextToken(), memberPath);
+        if (names.add(name)) {
+          members.add(new JsonValue.Member(name, value));
+        } else {
+          faults.add(place, "the name occurs twice in the same object", "remove one of the two");
+        }
+      }
+      return new JsonObject(line, column, members);
+    }
+
+    private JsonArray readArray(int line, int column, JsonPath path) throws IOException {
+      List<JsonValue> elements = new ArrayList<>();
+      JsonToken token = parser.nextToken();
+      while (token != JsonToken.END_ARRAY) {
+        elements.add(read(token, path.element(elements.size())));
+        token = parser.nextToken();
+      }
+      return new JsonArray(line, column, elements);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/Place.java
@@ -0,0 +1,16 @@
+package org.kumquatvane.json;
+
+/**
+ * Where a value stands in the input.
+ *
+ * @param source name of the file or platform value
+ * @param line line from 1
+ * @param column column from 1, in UTF-16 code units
+ * @param path path of the value
+ */
+public record Place(String source, int line, int column, JsonPath path) {
+  @Override
+  public String toString() {
+    return source + ":" + line + ":" + column + ": " + path;
+  }
+}
--- /dev/null
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/TextForm.java
@@ -0,0 +1,49 @@
+package org.kumquatvane.json;
+
+import java.util.regex.Pattern;
+
+/**
+ * Accepted form of a string.
+ *
+ * @param pattern matches the whole string; must not match an empty one or backtrack without bound
+ * @param description the form in words, after "a string"
+ * @param secret whether messages must not quote the value
+ */
+public record TextForm(Pattern pattern, String description, boolean secret) {
+  /** Names of workspaces, services, routes, VMs and failure domains. */
+  public static final TextForm NAME =
+      of(
+          "[A-Za-z0-9][A-Za-z0-9._-]{0,99}",
+          "of 1 to 100 letters, digits, dots, hyphens or underscores, starting with a letter or"
+              + " digit");
+
+  /** Digests in hexadecimal form. */
+  public static final TextForm SHA256 =
+      of("[0-9a-f]{64}", "of 64 lower-case hexadecimal digits, a SHA-256 digest");
+
+  /**
+   * Creates a form whose values may be shown.
+   *
+   * @param pattern regular expression for the whole string
+   * @param description the form in words, after "a string"
+   * @return the form
+   */
+  public static TextForm of(String pattern, String description) {
+    return new TextForm(Pattern.compile(pattern), description, false);
+  }
+
+  /**
+   * Creates a form whose values are never shown.
+   *
+   * @param pattern regular expression for the whole string
+   * @param description the form in words, after "a string"
+   * @return the form
+   */
+  public static TextForm ofSecret(String pattern, String description) {
+    return new TextForm(Pattern.compile(pattern), description, true);
+  }
+
+  boolean matches(String text) {
+    return pattern.matcher(text).matches();
+  }
+}
--- /dev/null
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/CallerProtocol.java
@@ -0,0 +1,9 @@
+package org.kumquatvane.settings;
+
+/** HTTP version towards callers. */
+public enum CallerProtocol {
+  /** HTTP/1.1. */
+  HTTP1,
+  /** HTTP/2. */
+  HTTP2
+}
--- /dev/null
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/PlatformSource.java
@@ -0,0 +1,11 @@
+package org.kumquatvane.settings;
+
+import org.kumquatvane.core.SocketEndpoint;
+
+/**
+ * The platform's configuration service.
+ *
+ * @param endpoint address and port
+ * @param documentName name of the value that holds the document
+ */
+public record PlatformSource(SocketEndpoint endpoint, String documentName) {}
--- /dev/null
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/StopTimes.java
@@ -0,0 +1,11 @@
+package org.kumquatvane.settings;
+
+import java.time.Duration;
+
+/**
+ * Times of a planned stop, counted from its start.
+ *
+ * @param drainNotice how long new requests are still accepted while the VM reports not ready
+ * @param drainDeadline when requests that still run are terminated
+ */
+public record StopTimes(Duration drainNotice, Duration drainDeadline) {}
--- /dev/null
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/WorkerBounds.java
@@ -0,0 +1,9 @@
+package org.kumquatvane.settings;
+
+/**
+ * Size of the worker pool.
+ *
+ * @param threads number of threads
+ * @param queueCapacity tasks that may wait
+ */
+public record WorkerBounds(int threads, int queueCapacity) {}
