--- /dev/null
+++ b/kumquatvane-platform/src/main/java/org/kumquatvane/platform/VmListParser.java
@@ -0,0 +1,88 @@
+package org.kumquatvane.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.json.FaultCollector;
+import org.kumquatvane.json.JsonLimits;
+import org.kumquatvane.json.JsonReader;
+import org.kumquatvane.json.ObjectReader;
+import org.kumquatvane.json.TextForm;
+import org.kumquatvane.membership.BackendVm;
+import org.kumquatvane.membership.Vm;
+import org.kumquatvane.membership.VmList;
+import org.kumquatvane.membership.VmState;
+
+/** Reads the platform's VM list. */
+public final class VmListParser {
+  private static final String SOURCE = "vm list";
+
+  private final JsonReader reader = new JsonReader(JsonLimits.STANDARD);
+
+  private enum Role {
+    ENTRY,
+    BACKEND
+  }
+
+  /**
+   * Reads a list.
+   *
+   * @param bytes the platform's answer
+   * @return the list, or empty if the answer is malformed
+   */
+  public Optional<VmList> parse(byte[] bytes) {
+    FaultCollector faults = new FaultCollector();
+    return reader
+        .read(SOURCE, bytes, faults)
+        .map(root -> read(ObjectReader.ofRoot(SOURCE, root, faults)))
+        .filter(list -> faults.isEmpty());
+  }
+
+  private static VmList read(ObjectReader root) {
+    long version = root.integer("version", 0, Long.MAX_VALUE);
+    List<Vm> entryVms = new ArrayList<>();
+    List<BackendVm> backendVms = new ArrayList<>();
+    root.objects("vms", vm -> readVm(vm, entryVms, backendVms));
+    return new VmList(version, entryVms, backendVms);
+  }
+
+  private static boolean readVm(ObjectReader vm, List<Vm> entryVms, List<BackendVm> backendVms) {
+    String id = vm.text("id", TextForm.NAME);
+    FailureDomain failureDomain = new FailureDomain(vm.text("failureDomain", TextForm.NAME));
+    VmState state = vm.choice("state", VmState.LIVE);
+    Role role = vm.choice("role", Role.ENTRY);
+    Optional<String> service = vm.optionalText("service", TextForm.NAME);
+    Optional<SocketEndpoint> address = address(vm);
+    if (address.isEmpty()) {
+      return false;
+    }
+    if (role == Role.ENTRY) {
+      return entryVms.add(new Vm(new VmId(id), address.get(), failureDomain, state));
+    }
+    if (service.isEmpty()) {
+      vm.fault("service", "a backend VM has no service", "name the service of the VM");
+      return false;
+    }
+    return backendVms.add(
+        new BackendVm(
+            new InstanceId(id),
+            new ServiceName(service.get()),
+            address.get(),
+            failureDomain,
+            state));
+  }
+
+  private static Optional<SocketEndpoint> address(ObjectReader vm) {
+    try {
+      return Optional.of(SocketEndpoint.parse(vm.text("address", TextForm.ANY)));
+    } catch (IllegalArgumentException e) {
+      vm.fault("address", "not an address", "write the IP number and the port as host:port");
+      return Optional.empty();
+    }
+  }
+}
