--- /dev/null
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/BackendStandIn.java
@@ -0,0 +1,400 @@
+package org.kumquatvane.standins;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.concurrent.api.SingleTerminalSignalConsumer;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.standins.ReceivedRequest.Outcome;
+import org.kumquatvane.standins.internal.Answers;
+import org.kumquatvane.standins.internal.HttpListener;
+import org.kumquatvane.standins.internal.SlotTable;
+import org.kumquatvane.standins.internal.WorkPlan;
+import org.kumquatvane.standins.internal.WorkPlan.Fate;
+
+/**
+ * One instance of a service, with gray failure modes that can be switched while it runs.
+ *
+ * <p>A request whose target contains {@code crash-instance} ends the instance: the listening socket
+ * and all connections are closed. The query parameters {@code workMillis} and {@code answerBytes}
+ * replace the time of the work and the length of the answer for one request.
+ */
+public final class BackendStandIn implements AutoCloseable {
+  /** Connections that an instance accepts. */
+  public static final int MAXIMUM_CONNECTIONS = 350;
+
+  private static final String CRASH_MARKER = "crash-instance";
+  private static final int CHUNK_BYTES = 65_536;
+  private static final byte[] FILLER =
+      " ".repeat(CHUNK_BYTES).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+
+  private final String id;
+  private final String service;
+  private final UniformRandomProvider random;
+  private final Map<BackendParameter, Double> parameters = new EnumMap<>(BackendParameter.class);
+  private final RequestLog log = new RequestLog();
+  private final SlotTable slots = new SlotTable();
+  private final HttpListener listener;
+  private String previousRequestId = "none";
+  private long startNanos = System.nanoTime();
+
+  /**
+   * Starts an instance.
+   *
+   * @param id unique name
+   * @param service service name
+   * @param port port on 127.0.0.1, 0 for a free one
+   * @param seed seed of the times of the work and of the shares
+   */
+  public BackendStandIn(String id, String service, int port, long seed) {
+    this.id = id;
+    this.service = service;
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    for (BackendParameter parameter : BackendParameter.values()) {
+      parameters.put(parameter, parameter.initial());
+    }
+    this.listener = new HttpListener(port, MAXIMUM_CONNECTIONS, this::handle);
+  }
+
+  /**
+   * Returns the name of the instance.
+   *
+   * @return a unique name
+   */
+  public String id() {
+    return id;
+  }
+
+  /**
+   * Returns the port of the instance.
+   *
+   * @return a port on 127.0.0.1
+   */
+  public int port() {
+    return listener.port();
+  }
+
+  /**
+   * Describes the instance for the VM list.
+   *
+   * @param failureDomain failure domain of its VM
+   * @return the entry
+   */
+  public PlatformVm vm(String failureDomain) {
+    return PlatformVm.backend(id, service, "127.0.0.1:" + port(), failureDomain);
+  }
+
+  /**
+   * Changes the behaviour.
+   *
+   * @param parameter what is changed
+   * @param value new value
+   */
+  public synchronized void set(BackendParameter parameter, double value) {
+    parameters.put(parameter, value);
+  }
+
+  /**
+   * Returns the requests received so far, in order of arrival.
+   *
+   * @return a copy
+   */
+  public List<ReceivedRequest> requests() {
+    return log.all();
+  }
+
+  /**
+   * Returns the highest number of connections open at once.
+   *
+   * @return a count
+   */
+  public int peakConnections() {
+    return listener.peakConnections();
+  }
+
+  /** Closes the listening socket and all connections; requests in work are stopped. */
+  public void crash() {
+    listener.close();
+  }
+
+  /** Starts the instance again on the same port, with a cold start. */
+  public void restart() {
+    synchronized (this) {
+      startNanos = System.nanoTime();
+    }
+    listener.open();
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+
+  /**
+   * Writes the parameters and counts.
+   *
+   * @param json receives an object
+   * @throws IOException if the output fails
+   */
+  public synchronized void writeState(JsonGenerator json) throws IOException {
+    json.writeStartObject();
+    json.writeStringField("id", id);
+    json.writeStringField("service", service);
+    json.writeNumberField("port", port());
+    json.writeNumberField("slotsInUse", slots.used());
+    json.writeNumberField("peakSlotsInUse", slots.peak());
+    json.writeNumberField("waiting", slots.waiting());
+    json.writeNumberField("connections", listener.connections());
+    json.writeNumberField("peakConnections", listener.peakConnections());
+    for (Map.Entry<BackendParameter, Double> parameter : parameters.entrySet()) {
+      json.writeNumberField(parameter.getKey().name(), parameter.getValue());
+    }
+    json.writeEndObject();
+  }
+
+  /**
+   * Writes the requests received so far.
+   *
+   * @param json receives an array
+   * @throws IOException if the output fails
+   */
+  public void writeRequests(JsonGenerator json) throws IOException {
+    log.writeTo(json);
+  }
+
+  private Single<StreamingHttpResponse> handle(
+      HttpServiceContext context,
+      StreamingHttpRequest request,
+      StreamingHttpResponseFactory responses) {
+    if (request.path().equals("/health")) {
+      int status =
+          isOn(BackendParameter.DRAINING) && !isOn(BackendParameter.HEALTH_LIES) ? 503 : 200;
+      return Single.succeeded(Answers.text(responses, status, status == 200 ? "ok" : "draining"));
+    }
+    if (request.path().equals("/load")) {
+      return Single.succeeded(Answers.bytes(responses, 200, Answers.json(this::writeState)));
+    }
+    return request.toRequest().flatMap(whole -> run(context, whole, responses));
+  }
+
+  private Single<StreamingHttpResponse> run(
+      HttpServiceContext context, HttpRequest request, StreamingHttpResponseFactory responses) {
+    long entry = log.arrived(request);
+    WorkPlan plan = plan(request);
+    if (plan.fate() == Fate.SHED) {
+      return Single.succeeded(shed(entry, responses));
+    }
+    SlotTable.Ticket ticket =
+        slots.acquire((int) get(BackendParameter.SLOTS), (int) get(BackendParameter.QUEUE_LIMIT));
+    return Single.fromStage(ticket.granted())
+        .flatMap(
+            granted ->
+                granted
+                    ? work(context, entry, plan, request, responses)
+                    : Single.succeeded(shed(entry, responses)))
+        .beforeFinally(
+            new SingleTerminalSignalConsumer<>() {
+              @Override
+              public void onSuccess(@Nullable StreamingHttpResponse response) {
+                ticket.release();
+              }
+
+              @Override
+              public void onError(Throwable failure) {
+                cancel();
+              }
+
+              @Override
+              public void cancel() {
+                log.ended(entry, Outcome.CANCELLED);
+                ticket.release();
+              }
+            });
+  }
+
+  private Single<StreamingHttpResponse> work(
+      HttpServiceContext context,
+      long entry,
+      WorkPlan plan,
+      HttpRequest request,
+      StreamingHttpResponseFactory responses) {
+    log.began(entry);
+    if (request.requestTarget().contains(CRASH_MARKER)) {
+      crash();
+      return Single.never();
+    }
+    if (plan.fate() == Fate.HANG) {
+      return Single.never();
+    }
+    CharSequence timeout = request.headers().get("kumquatvane-timeout-millis");
+    Duration limit =
+        timeout == null ? plan.duration() : Duration.ofMillis(Long.parseLong(timeout.toString()));
+    boolean late = plan.duration().compareTo(limit) > 0;
+    Duration wait = late ? limit : plan.duration();
+    Single<StreamingHttpResponse> answer =
+        Single.defer(
+            () -> {
+              log.ended(entry, late ? Outcome.TIMED_OUT : Outcome.ANSWERED);
+              return Single.succeeded(
+                  late ? timedOut(responses) : answer(plan.fate(), request, responses));
+            });
+    return wait.isZero()
+        ? answer
+        : context.executionContext().executor().timer(wait).concat(answer);
+  }
+
+  private StreamingHttpResponse shed(long entry, StreamingHttpResponseFactory responses) {
+    log.ended(entry, Outcome.SHED);
+    StreamingHttpResponse response = Answers.text(responses, 503, "no free slot");
+    response.setHeader("Kumquatvane-Execution", "not-run");
+    return marked(response);
+  }
+
+  private StreamingHttpResponse timedOut(StreamingHttpResponseFactory responses) {
+    StreamingHttpResponse response = Answers.text(responses, 504, "deadline passed");
+    response.setHeader("Kumquatvane-Execution", "may-have-run");
+    return marked(response);
+  }
+
+  private StreamingHttpResponse answer(
+      Fate fate, HttpRequest request, StreamingHttpResponseFactory responses) {
+    if (fate == Fate.ERROR) {
+      return marked(Answers.text(responses, 500, "internal error"));
+    }
+    CharSequence own = request.headers().get("kumquatvane-request-id");
+    String requestId = own == null ? "" : own.toString();
+    if (fate == Fate.CROSS) {
+      requestId = previousId();
+    }
+    byte[] content = describe(requestId, request);
+    String wanted = request.queryParameter("answerBytes");
+    long length =
+        Math.max(
+            content.length,
+            wanted == null ? (long) get(BackendParameter.ANSWER_BYTES) : Long.parseLong(wanted));
+    StreamingHttpResponse response = marked(Answers.bytes(responses, 200, new byte[0]));
+    response.setHeader("content-type", "application/json");
+    response.setHeader("content-length", Long.toString(length));
+    if (own != null) {
+      response.setHeader("Kumquatvane-Request-Id", requestId);
+    }
+    if (fate == Fate.TRUNCATE) {
+      return response.payloadBody(
+          Publisher.from(Answers.buffer(content, content.length / 2))
+              .concat(Publisher.failed(new IOException("body ends early on purpose"))));
+    }
+    remember(requestId);
+    long padding = length - content.length;
+    int chunks = (int) ((padding + CHUNK_BYTES - 1) / CHUNK_BYTES);
+    return response.payloadBody(
+        Publisher.from(Answers.buffer(content, content.length))
+            .concat(
+                Publisher.range(0, chunks)
+                    .map(
+                        chunk ->
+                            Answers.buffer(
+                                FILLER,
+                                (int)
+                                    Math.min(CHUNK_BYTES, padding - (long) chunk * CHUNK_BYTES)))));
+  }
+
+  private byte[] describe(String requestId, HttpRequest request) {
+    return Answers.json(
+        json -> {
+          json.writeStartObject();
+          json.writeStringField("instance", id);
+          json.writeStringField("service", service);
+          json.writeStringField("requestId", requestId);
+          json.writeStringField("method", request.method().name());
+          json.writeStringField("path", request.path());
+          json.writeNumberField("bodyBytes", request.payloadBody().readableBytes());
+          json.writeEndObject();
+        });
+  }
+
+  private StreamingHttpResponse marked(StreamingHttpResponse response) {
+    if (isOn(BackendParameter.DRAINING)) {
+      response.setHeader("Kumquatvane-Draining", "true");
+    }
+    return response;
+  }
+
+  private synchronized String previousId() {
+    return previousRequestId;
+  }
+
+  private synchronized void remember(String requestId) {
+    previousRequestId = requestId;
+  }
+
+  private synchronized double get(BackendParameter parameter) {
+    return parameters.getOrDefault(parameter, parameter.initial());
+  }
+
+  private boolean isOn(BackendParameter parameter) {
+    return get(parameter) != 0;
+  }
+
+  /** Draws every random number for every request, so that a sequence depends on the seed only. */
+  private synchronized WorkPlan plan(HttpRequest request) {
+    double gaussian =
+        Math.sqrt(-2 * Math.log(1 - random.nextDouble()))
+            * Math.cos(2 * Math.PI * random.nextDouble());
+    double share = random.nextDouble();
+    String fixed = request.queryParameter("workMillis");
+    double millis =
+        fixed == null
+            ? get(BackendParameter.WORK_MILLIS)
+                * Math.exp(gaussian * get(BackendParameter.WORK_SPREAD))
+            : Double.parseDouble(fixed);
+    long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    if (age < get(BackendParameter.COLD_START_MILLIS)) {
+      millis *= get(BackendParameter.COLD_FACTOR);
+    }
+    Fate fate = Fate.ANSWER;
+    if (isGray()) {
+      millis *= get(BackendParameter.SLOW_FACTOR);
+      fate = fate(share);
+    }
+    return new WorkPlan(Duration.ofNanos((long) (millis * 1_000_000)), fate);
+  }
+
+  private boolean isGray() {
+    double period = get(BackendParameter.FLAP_MILLIS);
+    return period == 0 || (long) (System.currentTimeMillis() / period) % 2 == 1;
+  }
+
+  private Fate fate(double share) {
+    double bound = get(BackendParameter.HANG_SHARE);
+    if (share < bound) {
+      return Fate.HANG;
+    }
+    bound += get(BackendParameter.TRUNCATE_SHARE);
+    if (share < bound) {
+      return Fate.TRUNCATE;
+    }
+    bound += get(BackendParameter.CROSS_SHARE);
+    if (share < bound) {
+      return Fate.CROSS;
+    }
+    bound += get(BackendParameter.ERROR_SHARE);
+    if (share < bound) {
+      return Fate.ERROR;
+    }
+    bound += get(BackendParameter.SHED_SHARE);
+    return share < bound ? Fate.SHED : Fate.ANSWER;
+  }
+}
--- /dev/null
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/RequestLog.java
@@ -0,0 +1,104 @@
+package org.kumquatvane.standins;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpRequest;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.standins.ReceivedRequest.Outcome;
+
+/** The requests that one backend-server stand-in received, the newest ones up to a bound. */
+final class RequestLog {
+  private static final int MAXIMUM_ENTRIES = 200_000;
+
+  // Start of every caller's key.
+  private static final String KEY_PREFIX = "kv1_";
+
+  private final LinkedHashMap<Long, ReceivedRequest> entries =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, ReceivedRequest> eldest) {
+          return size() > MAXIMUM_ENTRIES;
+        }
+      };
+  private long sequence;
+
+  synchronized long arrived(HttpRequest request) {
+    sequence++;
+    CharSequence timeout = request.headers().get("kumquatvane-timeout-millis");
+    entries.put(
+        sequence,
+        new ReceivedRequest(
+            sequence,
+            text(request.headers().get("kumquatvane-request-id")),
+            text(request.headers().get("kumquatvane-workspace")),
+            text(request.headers().get("idempotency-key")),
+            request.method().name(),
+            request.requestTarget(),
+            timeout == null ? -1 : Long.parseLong(timeout.toString()),
+            containsKey(request.requestTarget())
+                || containsKey(request.headers())
+                || containsKey(request.trailers()),
+            0,
+            0,
+            Outcome.WAITING));
+    return sequence;
+  }
+
+  synchronized void began(long entry) {
+    entries.computeIfPresent(entry, (key, old) -> old.began(System.currentTimeMillis()));
+  }
+
+  /** Records the end of a request; a later call for the same request has no effect. */
+  synchronized void ended(long entry, Outcome outcome) {
+    entries.computeIfPresent(
+        entry,
+        (key, old) -> old.endMillis() == 0 ? old.ended(System.currentTimeMillis(), outcome) : old);
+  }
+
+  synchronized List<ReceivedRequest> all() {
+    return new ArrayList<>(entries.values());
+  }
+
+  void writeTo(JsonGenerator json) throws IOException {
+    json.writeStartArray();
+    for (ReceivedRequest entry : all()) {
+      json.writeStartObject();
+      json.writeNumberField("sequence", entry.sequence());
+      json.writeStringField("requestId", entry.requestId());
+      json.writeStringField("workspace", entry.workspace());
+      json.writeStringField("idempotencyKey", entry.idempotencyKey());
+      json.writeStringField("method", entry.method());
+      json.writeStringField("target", entry.target());
+      json.writeNumberField("timeoutMillis", entry.timeoutMillis());
+      json.writeBooleanField("callerKeySeen", entry.callerKeySeen());
+      json.writeNumberField("startMillis", entry.startMillis());
+      json.writeNumberField("endMillis", entry.endMillis());
+      json.writeStringField("outcome", entry.outcome().name());
+      json.writeEndObject();
+    }
+    json.writeEndArray();
+  }
+
+  private static boolean containsKey(HttpHeaders fields) {
+    for (Map.Entry<CharSequence, CharSequence> field : fields) {
+      if (containsKey(field.getKey()) || containsKey(field.getValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean containsKey(CharSequence value) {
+    return value.toString().toLowerCase(Locale.ROOT).contains(KEY_PREFIX);
+  }
+
+  private static @Nullable String text(@Nullable CharSequence value) {
+    return value == null ? null : value.toString();
+  }
+}
--- /dev/null
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/internal/Answers.java
@@ -0,0 +1,92 @@
+package org.kumquatvane.standins.internal;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/** Builds answers of the stand-ins. */
+public final class Answers {
+  private static final BufferAllocator ALLOCATOR = BufferAllocators.PREFER_HEAP_ALLOCATOR;
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private Answers() {}
+
+  /** Writes one JSON text. */
+  @FunctionalInterface
+  public interface JsonContent {
+    /**
+     * Writes the text.
+     *
+     * @param json receives the tokens
+     * @throws IOException never for output to memory
+     */
+    void writeTo(JsonGenerator json) throws IOException;
+  }
+
+  /**
+   * Renders JSON.
+   *
+   * @param content writes the text
+   * @return UTF-8 bytes
+   */
+  public static byte[] json(JsonContent content) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator json = JSON.createGenerator(bytes)) {
+      content.writeTo(json);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Builds an answer whose length is declared and matches.
+   *
+   * @param responses creates the head
+   * @param status status code
+   * @param body bytes of the body
+   * @return the answer
+   */
+  public static StreamingHttpResponse bytes(
+      StreamingHttpResponseFactory responses, int status, byte[] body) {
+    StreamingHttpResponse response =
+        responses.newResponse(
+            HttpResponseStatus.of(status, status == 200 ? "OK" : "Status" + status));
+    response.setHeader("content-length", Integer.toString(body.length));
+    return body.length == 0 ? response : response.payloadBody(Publisher.from(ALLOCATOR.wrap(body)));
+  }
+
+  /**
+   * Builds a text answer.
+   *
+   * @param responses creates the head
+   * @param status status code
+   * @param text text of the body
+   * @return the answer
+   */
+  public static StreamingHttpResponse text(
+      StreamingHttpResponseFactory responses, int status, String text) {
+    return bytes(responses, status, (text + "\n").getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Wraps bytes.
+   *
+   * @param body the bytes
+   * @param length number of bytes from the start
+   * @return a buffer
+   */
+  public static Buffer buffer(byte[] body, int length) {
+    return ALLOCATOR.wrap(body, 0, length);
+  }
+}
--- /dev/null
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/internal/PlatformView.java
@@ -0,0 +1,170 @@
+package org.kumquatvane.standins.internal;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.standins.Availability;
+
+/** What the readers of one port of the platform see; ports may answer differently. */
+public final class PlatformView implements StreamingHttpService {
+  /** Name under which the VM list is stored; values have the prefix {@code values/}. */
+  public static final String VM_LIST = "vms";
+
+  private static final String VALUES_PATH = "/v1/values/";
+
+  // A waiting watch looks again after this time, so that a revision that becomes visible by age
+  // only
+  // is found.
+  private static final long LAG_CHECK_MILLIS = 20;
+
+  private final RevisionStore shared;
+  private final RevisionStore own;
+  private final AtomicLong calls = new AtomicLong();
+  private volatile Availability availability = Availability.ANSWERING;
+  private volatile long vmListLagMillis;
+  private volatile int revisionsBehind;
+
+  /**
+   * Creates a view.
+   *
+   * @param shared revisions that all views see
+   * @param own revisions that only this view sees, in place of shared ones
+   */
+  public PlatformView(RevisionStore shared, RevisionStore own) {
+    this.shared = shared;
+    this.own = own;
+  }
+
+  /**
+   * Changes the faults of the view.
+   *
+   * @param newAvailability whether calls are answered
+   * @param newVmListLagMillis age from which a VM list is shown
+   * @param newRevisionsBehind number of newest revisions to leave out
+   */
+  public void change(
+      Availability newAvailability, long newVmListLagMillis, int newRevisionsBehind) {
+    availability = newAvailability;
+    vmListLagMillis = newVmListLagMillis;
+    revisionsBehind = newRevisionsBehind;
+    shared.wake();
+  }
+
+  /**
+   * Returns the revisions that only this view sees.
+   *
+   * @return the store
+   */
+  public RevisionStore own() {
+    return own;
+  }
+
+  /**
+   * Returns how calls are treated.
+   *
+   * @return the availability
+   */
+  public Availability availability() {
+    return availability;
+  }
+
+  /**
+   * Returns the age from which a VM list is shown.
+   *
+   * @return milliseconds
+   */
+  public long vmListLagMillis() {
+    return vmListLagMillis;
+  }
+
+  /**
+   * Returns the number of newest revisions that are left out.
+   *
+   * @return a count
+   */
+  public int revisionsBehind() {
+    return revisionsBehind;
+  }
+
+  /**
+   * Returns the calls so far; a waiting watch counts as one call.
+   *
+   * @return a count
+   */
+  public long calls() {
+    return calls.get();
+  }
+
+  @Override
+  public Single<StreamingHttpResponse> handle(
+      HttpServiceContext context,
+      StreamingHttpRequest request,
+      StreamingHttpResponseFactory responses) {
+    calls.incrementAndGet();
+    if (availability == Availability.HANGING) {
+      return Single.never();
+    }
+    String name = nameOf(request.path());
+    if (name == null || !"GET".equals(request.method().name())) {
+      return Single.succeeded(Answers.text(responses, name == null ? 404 : 405, "no such call"));
+    }
+    String after = request.queryParameter("after");
+    long known = after == null ? -1 : Long.parseLong(after);
+    String wait = request.queryParameter("waitMillis");
+    long deadline =
+        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(wait == null ? 0 : Long.parseLong(wait));
+    return request
+        .messageBody()
+        .ignoreElements()
+        .concat(Single.defer(() -> Single.fromStage(answer(name, known, deadline, responses))))
+        .flatMap(
+            response ->
+                availability == Availability.HANGING ? Single.never() : Single.succeeded(response));
+  }
+
+  private static @Nullable String nameOf(String path) {
+    if (path.equals("/v1/vms")) {
+      return VM_LIST;
+    }
+    return path.startsWith(VALUES_PATH) && path.length() > VALUES_PATH.length()
+        ? "values/" + path.substring(VALUES_PATH.length())
+        : null;
+  }
+
+  private CompletableFuture<StreamingHttpResponse> answer(
+      String name, long known, long deadline, StreamingHttpResponseFactory responses) {
+    // Taken before the look, so that a change between the look and the wait is not missed.
+    CompletableFuture<Void> change = shared.nextChange();
+    Revision revision = look(name);
+    if (revision != null && revision.version() != known) {
+      StreamingHttpResponse response = Answers.bytes(responses, 200, revision.content());
+      response.setHeader("Version", Long.toString(revision.version()));
+      return CompletableFuture.completedFuture(response);
+    }
+    long left = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
+    if (left <= 0) {
+      return CompletableFuture.completedFuture(
+          revision == null
+              ? Answers.text(responses, 404, "no such value")
+              : Answers.bytes(responses, 304, new byte[0]));
+    }
+    long wait = vmListLagMillis > 0 ? Math.min(left, LAG_CHECK_MILLIS) : left;
+    return change
+        .copy()
+        .completeOnTimeout(null, wait, TimeUnit.MILLISECONDS)
+        .thenComposeAsync(changed -> answer(name, known, deadline, responses));
+  }
+
+  private @Nullable Revision look(String name) {
+    long lag = name.equals(VM_LIST) ? TimeUnit.MILLISECONDS.toNanos(vmListLagMillis) : 0;
+    Revision mine = own.visible(name, 0, 0);
+    return mine != null ? mine : shared.visible(name, revisionsBehind, lag);
+  }
+}
--- /dev/null
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/internal/SlotTable.java
@@ -0,0 +1,102 @@
+package org.kumquatvane.standins.internal;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+
+/** Slots of an instance with a bounded queue. */
+public final class SlotTable {
+  private final Deque<Ticket> waiting = new ArrayDeque<>();
+  private int used;
+  private int peak;
+
+  /** One request's claim to a slot. */
+  public final class Ticket {
+    private final CompletableFuture<Boolean> granted = new CompletableFuture<>();
+    private boolean holdsSlot;
+
+    private Ticket() {}
+
+    /**
+     * Completes with true once the slot is held, with false if there is no room.
+     *
+     * @return the future
+     */
+    public CompletableFuture<Boolean> granted() {
+      return granted;
+    }
+
+    /** Gives up the slot or the place in the queue; repeated calls have no effect. */
+    public void release() {
+      Ticket next = null;
+      synchronized (SlotTable.this) {
+        waiting.remove(this);
+        if (holdsSlot) {
+          holdsSlot = false;
+          next = waiting.poll();
+          if (next == null) {
+            used--;
+          } else {
+            next.holdsSlot = true;
+          }
+        }
+      }
+      if (next != null) {
+        next.granted.complete(true);
+      }
+    }
+  }
+
+  /**
+   * Claims a slot.
+   *
+   * @param slots number of slots
+   * @param queueLimit number of requests that may wait
+   * @return the claim
+   */
+  public Ticket acquire(int slots, int queueLimit) {
+    Ticket ticket = new Ticket();
+    boolean queued = false;
+    synchronized (this) {
+      if (used < slots) {
+        used++;
+        peak = Math.max(peak, used);
+        ticket.holdsSlot = true;
+      } else if (waiting.size() < queueLimit) {
+        waiting.add(ticket);
+        queued = true;
+      }
+    }
+    if (!queued) {
+      ticket.granted.complete(ticket.holdsSlot);
+    }
+    return ticket;
+  }
+
+  /**
+   * Returns the number of slots in use.
+   *
+   * @return a count
+   */
+  public synchronized int used() {
+    return used;
+  }
+
+  /**
+   * Returns the highest number of slots in use at once.
+   *
+   * @return a count
+   */
+  public synchronized int peak() {
+    return peak;
+  }
+
+  /**
+   * Returns the number of requests that wait.
+   *
+   * @return a count
+   */
+  public synchronized int waiting() {
+    return waiting.size();
+  }
+}
