Add membership by heartbeats, reports and promises

Cause: FleetMembership had no implementation. Change: HeartbeatMembership with peer evidence, candidate views, promises and agreed views, pauses told by both clocks, departure notices, scopes and VM list versions. LogicalProcess gives tests processes with drifting clocks, pauses and ends. A starting process gives no promise for one promise time, since it may replace one that promised shortly before it ended.

--- /dev/null
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/ConfigurationMark.java
@@ -0,0 +1,12 @@
+package org.kumquatvane.membership;
+
+/**
+ * What a VM has in force, sent with each heartbeat so that a lost offer is noticed.
+ *
+ * @param generation generation of the document in force, 0 before the first one
+ * @param withdrawalCount number of key withdrawals that the VM knows
+ */
+public record ConfigurationMark(long generation, int withdrawalCount) {
+  /** The mark of a VM without a document. */
+  public static final ConfigurationMark NONE = new ConfigurationMark(0, 0);
+}
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/MembershipListener.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/MembershipListener.java
@@ -21,6 +21,14 @@
    */
   default void vmDeparted(VmId vm) {}
 
+  /**
+   * A heartbeat of a listed VM has arrived.
+   *
+   * @param vm the VM
+   * @param configuration what it has in force
+   */
+  default void peerHeard(VmId vm, ConfigurationMark configuration) {}
+
   /** This process was paused and has resumed; every right with a deadline must be checked. */
   default void resumedAfterPause() {}
 }
--- /dev/null
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/VmScope.java
@@ -0,0 +1,15 @@
+package org.kumquatvane.membership;
+
+import java.util.List;
+
+/** Selects the VMs that act together; a fleet larger than one cell is divided by scopes. */
+@FunctionalInterface
+public interface VmScope {
+  /**
+   * Selects from the listed entry VMs.
+   *
+   * @param entryVms all entry VMs of the VM list
+   * @return the VMs in the scope of this VM
+   */
+  List<Vm> select(List<Vm> entryVms);
+}
--- /dev/null
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/internal/OrderedEffects.java
@@ -0,0 +1,38 @@
+package org.kumquatvane.membership.internal;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Runs what a decision under a lock leads to, after the lock is released and in the order of the
+ * decisions, on one thread at a time.
+ */
+public final class OrderedEffects {
+  private final Queue<Runnable> queue = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger pending = new AtomicInteger();
+
+  /**
+   * Adds an effect; called under the lock.
+   *
+   * @param effect a message to send or a listener to call
+   */
+  public void add(Runnable effect) {
+    queue.add(effect);
+  }
+
+  /** Runs the waiting effects unless another thread does; called outside the lock. */
+  public void drain() {
+    if (pending.getAndIncrement() != 0) {
+      return;
+    }
+    int seen = 1;
+    do {
+      Runnable effect;
+      while ((effect = queue.poll()) != null) {
+        effect.run();
+      }
+      seen = pending.addAndGet(-seen);
+    } while (seen != 0);
+  }
+}
--- /dev/null
+++ b/kumquatvane-membership/src/test/java/org/kumquatvane/membership/AgreedViewPropertyTest.java
@@ -0,0 +1,109 @@
+package org.kumquatvane.membership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import org.kumquatvane.core.VmId;
+
+/** Guards against two VMs acting on views of different members at the same instant. */
+class AgreedViewPropertyTest {
+  /** More seeds for each try: {@code -Dkumquatvane.seedsPerTry=100}. */
+  private static final int SEEDS_PER_TRY = Integer.getInteger("kumquatvane.seedsPerTry", 1);
+
+  @Property(tries = 60, seed = "20261204", shrinking = ShrinkingMode.OFF)
+  void viewsInForceAreTheSame(@ForAll long seed, @ForAll @IntRange(min = 1, max = 7) int size) {
+    for (int i = 0; i < SEEDS_PER_TRY; i++) {
+      new Faults(new FleetSimulation(seed + i, size), size).run();
+    }
+  }
+
+  /** Random faults that keep the number of live processes within the bound. */
+  private static final class Faults {
+    private final FleetSimulation fleet;
+
+    Faults(FleetSimulation fleet, int size) {
+      this.fleet = fleet;
+      for (int i = 0; i < size; i++) {
+        fleet.startVm();
+      }
+      fleet.publishList();
+    }
+
+    void run() {
+      fleet.advance(Duration.ofMillis(fleet.random.nextInt(8_000)));
+      for (int i = 0; i < 60; i++) {
+        injectOne();
+        fleet.advance(Duration.ofMillis(10 + fleet.random.nextInt(1_500)));
+      }
+    }
+
+    private void injectOne() {
+      switch (fleet.random.nextInt(9)) {
+        case 0 -> fleet.network.setBlocked(anyVm().vm.id(), anyVm().vm.id(), true);
+        case 1 -> openAll();
+        case 2 -> anyVm().process.pause(fleet.random.nextBoolean());
+        case 3 -> fleet.running().forEach(FleetSimulation.Member::resume);
+        case 4 -> {
+          if (fleet.running().size() > 1) {
+            anyVm().kill();
+          }
+        }
+        case 5 -> {
+          if (fleet.running().size() < fleet.maximumVmCount) {
+            fleet.startVm();
+          }
+        }
+        case 6 -> publishDifferentLists();
+        case 7 -> disturbNetwork();
+        default -> raiseMaximum();
+      }
+    }
+
+    private FleetSimulation.Member anyVm() {
+      List<FleetSimulation.Member> running = fleet.running();
+      return running.get(fleet.random.nextInt(running.size()));
+    }
+
+    private void openAll() {
+      for (VmId from : fleet.members.keySet()) {
+        for (VmId to : fleet.members.keySet()) {
+          fleet.network.setBlocked(from, to, false);
+        }
+      }
+    }
+
+    /** A list with every VM or without one that still runs, seen by some VMs only. */
+    private void publishDifferentLists() {
+      Set<VmId> omitted = fleet.random.nextInt(3) == 0 ? Set.of(anyVm().vm.id()) : Set.of();
+      VmList list = fleet.list(omitted);
+      double share = fleet.random.nextBoolean() ? 1 : 0.5;
+      for (FleetSimulation.Member member : fleet.running()) {
+        if (fleet.random.nextDouble() < share) {
+          member.accept(list);
+        }
+      }
+    }
+
+    private void disturbNetwork() {
+      boolean calm = fleet.random.nextBoolean();
+      fleet.network.setFaults(
+          calm ? 0 : fleet.random.nextDouble() * 0.4, calm ? 0 : fleet.random.nextDouble() * 0.4);
+      fleet.network.setDelay(
+          Duration.ofMillis(1), Duration.ofMillis(calm ? 3 : fleet.random.nextInt(2, 6_000)));
+    }
+
+    /** Operators raise the bound everywhere before they start more VMs. */
+    private void raiseMaximum() {
+      if (fleet.maximumVmCount < 8 && fleet.random.nextInt(4) == 0) {
+        fleet.maximumVmCount++;
+        fleet
+            .running()
+            .forEach(member -> member.membership.setMaximumVmCount(fleet.maximumVmCount));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-membership/src/test/java/org/kumquatvane/membership/HeartbeatMembershipTest.java
@@ -0,0 +1,136 @@
+package org.kumquatvane.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a fleet that never finds a view again, or that mistakes one fault for another. */
+class HeartbeatMembershipTest {
+  /** Start wait of one promise (4 s), stability and a few ticks. */
+  private static final Duration START_LIMIT = Duration.ofSeconds(10);
+
+  /** Silence (3 s), the reports' tick, the promises of the old view (4 s) and a few ticks. */
+  private static final Duration CHANGE_LIMIT = Duration.ofSeconds(14);
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 10, 40})
+  void fleetWithoutFaultsAgreesAndKeepsItsView(int size) {
+    FleetSimulation fleet = FleetSimulation.running(size);
+    fleet.untilViewOf(fleet.running(), START_LIMIT);
+    fleet.advance(Duration.ofSeconds(30));
+    fleet.running().forEach(member -> assertEquals(List.of("agreed " + size), member.events));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 10, 40})
+  void deadVmLeavesTheView(int size) {
+    FleetSimulation fleet = agreed(size);
+    FleetSimulation.Member dead = fleet.running().get(0);
+    dead.kill();
+    fleet.untilViewOf(fleet.running(), CHANGE_LIMIT);
+    assertEquals(PeerCondition.SILENT, fleet.running().get(0).membership.condition(dead.vm.id()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"3,0,2", "3,2,0", "10,4,7", "40,39,1"})
+  void oneWayPartitionRemovesOneEnd(int size, int from, int to) {
+    FleetSimulation fleet = agreed(size);
+    FleetSimulation.Member sender = fleet.running().get(from);
+    FleetSimulation.Member receiver = fleet.running().get(to);
+    fleet.network.setBlocked(sender.vm.id(), receiver.vm.id(), true);
+    List<FleetSimulation.Member> rest = new ArrayList<>(fleet.running());
+    rest.remove(from > to ? sender : receiver);
+    fleet.untilViewOf(rest, CHANGE_LIMIT);
+    FleetSimulation.Member observer = fleet.running().get(from == 0 || to == 0 ? 1 : 0);
+    assertEquals(PeerCondition.PARTLY_REACHABLE, observer.membership.condition(sender.vm.id()));
+
+    fleet.network.setBlocked(sender.vm.id(), receiver.vm.id(), false);
+    fleet.untilViewOf(fleet.running(), CHANGE_LIMIT);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void pausedVmHoldsNoViewWhenItResumesAndJoinsAgain(boolean clockStops) {
+    FleetSimulation fleet = agreed(5);
+    FleetSimulation.Member paused = fleet.running().get(3);
+    paused.process.pause(clockStops);
+    fleet.advance(Duration.ofSeconds(20));
+    assertEquals(PeerCondition.SILENT, fleet.running().get(0).membership.condition(paused.vm.id()));
+    paused.process.resume();
+    assertTrue(paused.membership.agreedView().isEmpty());
+    paused.process.runWaiting();
+    assertTrue(paused.events.contains("resumed"));
+    fleet.untilViewOf(fleet.running(), CHANGE_LIMIT);
+  }
+
+  @Test
+  void announcedDepartureIsToldApartFromDeath() {
+    FleetSimulation fleet = agreed(4);
+    FleetSimulation.Member leaving = fleet.running().get(2);
+    leaving.membership.depart();
+    assertTrue(leaving.membership.agreedView().isEmpty());
+    fleet.advance(Duration.ofMillis(100));
+    leaving.kill();
+    // Only the promises of the old view have to expire; nobody waits for silence.
+    fleet.untilViewOf(fleet.running(), Duration.ofSeconds(6));
+    for (FleetSimulation.Member member : fleet.running()) {
+      assertTrue(member.events.contains("departed " + leaving.vm.id()));
+      assertEquals(PeerCondition.DEPARTED, member.membership.condition(leaving.vm.id()));
+    }
+  }
+
+  @Test
+  void splitFleetHoldsOnlyTheViewOfTheLargerSide() {
+    FleetSimulation fleet = agreed(5);
+    List<FleetSimulation.Member> all = fleet.running();
+    for (FleetSimulation.Member left : all.subList(0, 2)) {
+      for (FleetSimulation.Member right : all.subList(2, 5)) {
+        fleet.network.setBlocked(left.vm.id(), right.vm.id(), true);
+        fleet.network.setBlocked(right.vm.id(), left.vm.id(), true);
+      }
+    }
+    fleet.untilViewOf(all.subList(2, 5), CHANGE_LIMIT);
+    assertTrue(all.get(0).membership.agreedView().isEmpty());
+  }
+
+  @Test
+  void olderVmListIsIgnored() {
+    FleetSimulation fleet = agreed(3);
+    VmList older = fleet.list(Set.of(fleet.running().get(0).vm.id()));
+    fleet.publishList();
+    fleet.running().forEach(member -> member.accept(older));
+    assertEquals(3, fleet.running().get(1).membership.listedVms().size());
+  }
+
+  @Test
+  void raisedMaximumEndsViewWithoutMajority() {
+    FleetSimulation fleet = agreed(3);
+    fleet.running().forEach(member -> member.membership.setMaximumVmCount(6));
+    assertFalse(fleet.running().get(0).membership.agreedView().isPresent());
+    fleet.running().forEach(member -> member.membership.setMaximumVmCount(5));
+    fleet.untilViewOf(fleet.running(), CHANGE_LIMIT);
+  }
+
+  @Test
+  void scopeLimitsTheFleet() {
+    FixedScope scope = new FixedScope(Set.of(FleetSimulation.running(3).running().get(1).vm.id()));
+    FleetSimulation fleet = FleetSimulation.running(3);
+    List<Vm> selected = scope.select(fleet.list(Set.of()).entryVms());
+    assertEquals(1, selected.size());
+  }
+
+  private static FleetSimulation agreed(int size) {
+    FleetSimulation fleet = FleetSimulation.running(size);
+    fleet.untilViewOf(fleet.running(), START_LIMIT);
+    return fleet;
+  }
+}
