Fix the platform client's use of a reserved method name

The record component wait collided with Object.wait and broke the build; it is now longestWait. The VM list parser names the form of addresses.

--- a/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformClient.java
+++ b/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformClient.java
@@ -79,9 +79,9 @@
                 + "?after="
                 + watch.after().getAsLong()
                 + "&waitMillis="
-                + watch.wait().toMillis()
+                + watch.longestWait().toMillis()
             : path;
-    toSource(client.request(client.get(target)).timeout(watch.wait().plus(GRACE)))
+    toSource(client.request(client.get(target)).timeout(watch.longestWait().plus(GRACE)))
         .subscribe(
             new SingleSource.Subscriber<HttpResponse>() {
               @Override
--- a/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformWatch.java
+++ b/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformWatch.java
@@ -7,9 +7,9 @@
  * How long a call may wait for a change.
  *
  * @param after version that is known already; empty for an answer at once
- * @param wait longest time that the platform holds the call
+ * @param longestWait longest time that the platform holds the call
  */
-public record PlatformWatch(OptionalLong after, Duration wait) {
+public record PlatformWatch(OptionalLong after, Duration longestWait) {
   /** Asks for the value as it is now. */
   public static final PlatformWatch NOW = new PlatformWatch(OptionalLong.empty(), Duration.ZERO);
 }
--- a/kumquatvane-platform/src/main/java/org/kumquatvane/platform/VmListParser.java
+++ b/kumquatvane-platform/src/main/java/org/kumquatvane/platform/VmListParser.java
@@ -21,6 +21,8 @@
 /** Reads the platform's VM list. */
 public final class VmListParser {
   private static final String SOURCE = "vm list";
+  private static final TextForm ADDRESS =
+      TextForm.of("[0-9A-Fa-f:.\\[\\]]{3,60}", "of an IP number and a port");
 
   private final JsonReader reader = new JsonReader(JsonLimits.STANDARD);
 
@@ -79,7 +81,7 @@
 
   private static Optional<SocketEndpoint> address(ObjectReader vm) {
     try {
-      return Optional.of(SocketEndpoint.parse(vm.text("address", TextForm.ANY)));
+      return Optional.of(SocketEndpoint.parse(vm.text("address", ADDRESS)));
     } catch (IllegalArgumentException e) {
       vm.fault("address", "not an address", "write the IP number and the port as host:port");
       return Optional.empty();
