--- a/kumquatvane-documents/src/main/java/org/kumquatvane/documents/internal/DocumentDraft.java
+++ b/kumquatvane-documents/src/main/java/org/kumquatvane/documents/internal/DocumentDraft.java
@@ -1,9 +1,12 @@
 package org.kumquatvane.documents.internal;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.KeyDigest;
 import org.kumquatvane.core.ServiceName;
@@ -26,6 +29,10 @@
   private final List<Service> services = new ArrayList<>();
   private final List<Located<Route>> routes = new ArrayList<>();
   private final List<Located<WorkspaceId>> workspaceReferences = new ArrayList<>();
+
+  /** Routes without a fault of their own; the others hold placeholders. */
+  private final Set<Route> sound = Collections.newSetFromMap(new IdentityHashMap<>());
+
   private final Map<String, Place> workspaceNames = new HashMap<>();
   private final Map<String, Place> serviceNames = new HashMap<>();
   private final Map<String, Place> routeNames = new HashMap<>();
@@ -75,7 +82,11 @@
   }
 
   private Located<Route> readRoute(ObjectReader reader) {
+    long faultsBefore = faults.count();
     Route route = RouteReader.read(reader, workspaceReferences::add);
+    if (faults.count() == faultsBefore) {
+      sound.add(route);
+    }
     addName(routeNames, route.id().value(), "route", reader.place("name"));
     for (String method : route.methods().stream().sorted().toList()) {
       Place first = patterns.putIfAbsent(method + " " + route.path(), reader.place());
@@ -125,7 +136,8 @@
             "there is no service \"" + route.service() + "\"",
             "add it to services or correct the route's service");
       }
-    } else if (service.retry().mode() != RetryMode.NONE
+    } else if (sound.contains(route)
+        && service.retry().mode() != RetryMode.NONE
         && service.retry().baseBackoff().compareTo(route.timeout()) >= 0) {
       faults.add(
           place,
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/FaultCollector.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/FaultCollector.java
@@ -1,9 +1,10 @@
 package org.kumquatvane.json;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
-/** Collects the faults of one input, in the order in which they are found. */
+/** Collects the faults of one input and the parts that it names. */
 public final class FaultCollector {
   /** Bounds memory for an input that is wrong everywhere. */
   public static final int MAXIMUM_FAULTS = 1_000;
@@ -36,16 +37,31 @@
   }
 
   /**
-   * Returns the faults; a last one gives the number of omitted ones if there are any.
+   * Returns how many faults were added, so that a caller can tell whether a part has any.
+   *
+   * @return the count, including omitted ones
+   */
+  public long count() {
+    return faults.size() + omitted;
+  }
+
+  /**
+   * Returns the faults in the order of the inputs; a last one gives the number of omitted ones if
+   * there are any.
    *
    * @return a copy
    */
   public List<Fault> faults() {
     List<Fault> all = new ArrayList<>(faults);
+    List<String> sources = faults.stream().map(fault -> fault.place().source()).distinct().toList();
+    all.sort(
+        Comparator.comparingInt((Fault fault) -> sources.indexOf(fault.place().source()))
+            .thenComparingInt(fault -> fault.place().line())
+            .thenComparingInt(fault -> fault.place().column()));
     if (omitted > 0) {
       all.add(
           new Fault(
-              faults.get(faults.size() - 1).place(),
+              all.get(all.size() - 1).place(),
               omitted + " further faults are not listed",
               "correct the listed ones first and check again"));
     }
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonPath.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonPath.java
@@ -42,7 +42,12 @@
 
   /** Limits the length of names from the input and replaces control characters. */
   static String printable(String text) {
-    String shortened = text.length() > 60 ? text.substring(0, 57) + "..." : text;
+    return printable(text, 60);
+  }
+
+  /** Limits the length to the given one and replaces control characters. */
+  static String printable(String text, int maximum) {
+    String shortened = text.length() > maximum ? text.substring(0, maximum - 3) + "..." : text;
     return shortened.replaceAll("[\\p{Cntrl}\\p{Cs}]", "?");
   }
 }
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonReader.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonReader.java
@@ -168,7 +168,7 @@
       // The library quotes the word, which may be a secret that lacks its quotation marks.
       return original.startsWith("Unrecognized token")
           ? "a word without quotation marks is not a value"
-          : JsonPath.printable(original.lines().findFirst().orElse("syntax error"));
+          : JsonPath.printable(original.lines().findFirst().orElse("syntax error"), 200);
     }
 
     private Place place(JsonLocation location, JsonPath path) {
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/ObjectReader.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/ObjectReader.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.json;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -163,7 +164,7 @@
    * @return the number, or the minimum after a fault
    */
   public double decimal(String name, double minimum, double maximum) {
-    return require(name, "a number from " + minimum + " to " + maximum)
+    return require(name, "a number from " + shown(minimum) + " to " + shown(maximum))
         .map(value -> decimalOf(value, place(name), minimum, maximum))
         .orElse(minimum);
   }
@@ -355,10 +356,14 @@
     if (parsed >= minimum && parsed <= maximum) {
       return parsed;
     }
-    outOfRange(where, number, "a number from " + minimum + " to " + maximum);
+    outOfRange(where, number, "a number from " + shown(minimum) + " to " + shown(maximum));
     return minimum;
   }
 
+  private static String shown(double bound) {
+    return new BigDecimal(Double.toString(bound)).stripTrailingZeros().toPlainString();
+  }
+
   private void outOfRange(Place where, JsonNumber number, String expected) {
     faults.add(
         where, JsonPath.printable(number.literal()) + " is out of range", "write " + expected);
