Stop a stand-in's work when its caller closes the connection

Cause: ServiceTalk keeps a half-closed connection until the answer is written, so a request whose caller had gone stayed in work (seen with curl -m).

--- a/kumquatvane-standins/src/main/java/org/kumquatvane/standins/BackendStandIn.java
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/BackendStandIn.java
@@ -1,6 +1,7 @@
 package org.kumquatvane.standins;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.channel.ChannelOption;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.concurrent.api.SingleTerminalSignalConsumer;
@@ -9,6 +10,7 @@
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.EnumMap;
@@ -179,6 +181,7 @@
       HttpServiceContext context,
       StreamingHttpRequest request,
       StreamingHttpResponseFactory responses) {
+    closeOnHalfClosure(context);
     if (request.path().equals("/health")) {
       int status =
           isOn(BackendParameter.DRAINING) && !isOn(BackendParameter.HEALTH_LIES) ? 503 : 200;
@@ -190,6 +193,18 @@
     return request.toRequest().flatMap(whole -> run(context, whole, responses));
   }
 
+  /**
+   * Treats the caller's end of stream as its departure, so that the work of its request is stopped.
+   *
+   * <p>ServiceTalk keeps a half-closed connection until the answer is written, which would hide
+   * that the caller has closed the connection.
+   */
+  private static void closeOnHalfClosure(HttpServiceContext context) {
+    if (context instanceof NettyConnectionContext connection) {
+      connection.nettyChannel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, false);
+    }
+  }
+
   private Single<StreamingHttpResponse> run(
       HttpServiceContext context, HttpRequest request, StreamingHttpResponseFactory responses) {
     long entry = log.arrived(request);
--- /dev/null
+++ b/kumquatvane-standins/src/test/java/org/kumquatvane/standins/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.standins;
+
+import org.jspecify.annotations.NullMarked;
