Eject instances by comparison with their peers

Cause: ejection had only NoEjection, so that an instance that fails gray stayed in use. Change: PeerComparisonHealth compares outcomes and latency of real requests with the median of the other instances, shares counts under suspicion by InstanceEvidence (at most 1,500 bytes a second), discounts VMs that are contradicted on several instances, and ejects above a floor that counts the ejections of all VMs and is checked in the same critical section.

--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/InstanceHealth.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/InstanceHealth.java
@@ -6,7 +6,8 @@
 /** Judges instances by the outcomes of real requests and ejects those that fail gray. */
 public interface InstanceHealth {
   /**
-   * Tells whether an instance may get a request now.
+   * Tells whether an instance may get a request now. Takes no lock, so that a pool may ask while it
+   * holds its own.
    *
    * @param service the service
    * @param instance the instance
@@ -22,4 +23,12 @@
    * @param observation what the attempt showed
    */
   void observe(ServiceName service, InstanceId instance, Observation observation);
+
+  /**
+   * Takes note of an instance that said itself that it leaves, before the VM list says so.
+   *
+   * @param service the service
+   * @param instance the instance
+   */
+  default void instanceLeaving(ServiceName service, InstanceId instance) {}
 }
--- /dev/null
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Baseline.java
@@ -0,0 +1,67 @@
+package org.kumquatvane.ejection.internal;
+
+import java.util.Arrays;
+import java.util.Collection;
+
+/**
+ * What this VM sees on the instances of one service as a whole. Medians, so that a minority of bad
+ * instances does not move it and a service that is bad as a whole has no outliers.
+ *
+ * @param comparable instances with evidence
+ * @param failureRate median share of failed attempts
+ * @param latencyComparable instances with latency samples
+ * @param medianLog median of the instances' mean logarithm of latency
+ * @param variance variance of the logarithm within an instance
+ */
+record Baseline(
+    int comparable, double failureRate, int latencyComparable, double medianLog, double variance) {
+  static final Baseline EMPTY = new Baseline(0, 0, 0, 0, 1);
+
+  /** Fewer instances than this say nothing about which one is the exception. */
+  static final int MINIMUM_COMPARABLE = 3;
+
+  /**
+   * A standard deviation of 0.3; steadier latencies would make harmless differences significant.
+   */
+  private static final double MINIMUM_VARIANCE = 0.09;
+
+  /** Variance assumed until there are enough samples to estimate it. */
+  private static final double ASSUMED_VARIANCE = 1;
+
+  private static final double MINIMUM_WEIGHT = 0.3;
+
+  static Baseline of(Collection<DecayedEvidence> evidence) {
+    double[] rates =
+        evidence.stream()
+            .filter(entry -> entry.attempts() >= MINIMUM_WEIGHT)
+            .mapToDouble(DecayedEvidence::failureRate)
+            .toArray();
+    double[] logs =
+        evidence.stream()
+            .filter(entry -> entry.samples() >= MINIMUM_WEIGHT)
+            .mapToDouble(DecayedEvidence::meanLog)
+            .toArray();
+    double squares = 0;
+    double freedom = 0;
+    for (DecayedEvidence entry : evidence) {
+      squares += entry.squaredDifferences();
+      freedom += Math.max(0, entry.samples() - 1);
+    }
+    // The assumed variance counts as two samples, so that it fades as real ones come in.
+    double variance = (squares + 2 * ASSUMED_VARIANCE) / (freedom + 2);
+    return new Baseline(
+        rates.length,
+        median(rates),
+        logs.length,
+        median(logs),
+        Math.max(MINIMUM_VARIANCE, variance));
+  }
+
+  private static double median(double[] values) {
+    if (values.length == 0) {
+      return 0;
+    }
+    Arrays.sort(values);
+    return values[(values.length - 1) / 2];
+  }
+}
--- /dev/null
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Certainty.java
@@ -0,0 +1,44 @@
+package org.kumquatvane.ejection.internal;
+
+/** Strength of evidence in nats. */
+final class Certainty {
+  /** Failures below this share are taken as normal, however good the peers are. */
+  private static final double NORMAL_FAILURE_RATE = 0.02;
+
+  /** A peer rate that is estimated from few attempts may be too low by this factor. */
+  private static final double PEER_RATE_MARGIN = 1.5;
+
+  private static final double HIGHEST_COMPARABLE_RATE = 0.9;
+
+  /**
+   * Latencies of one instance depend on each other, since requests wait behind the same others;
+   * each sample counts as this part of an independent one.
+   */
+  private static final double INDEPENDENT_SHARE = 0.5;
+
+  private Certainty() {}
+
+  /** Chernoff bound of the binomial tail: attempts times the relative entropy of the rates. */
+  static double ofFailures(double attempts, double failures, double peerRate) {
+    double expected = Math.max(NORMAL_FAILURE_RATE, PEER_RATE_MARGIN * peerRate);
+    if (attempts <= 0 || expected > HIGHEST_COMPARABLE_RATE) {
+      return 0;
+    }
+    double rate = Math.min(1, failures / attempts);
+    if (rate <= expected) {
+      return 0;
+    }
+    double entropy = rate * Math.log(rate / expected);
+    if (rate < 1) {
+      entropy += (1 - rate) * Math.log((1 - rate) / (1 - expected));
+    }
+    return attempts * entropy;
+  }
+
+  /** Chernoff bound of the normal tail of the mean deviation. */
+  static double ofSlowness(double samples, double deviation, double variance) {
+    return deviation <= 0
+        ? 0
+        : INDEPENDENT_SHARE * samples * deviation * deviation / (2 * variance);
+  }
+}
--- /dev/null
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/DecayedEvidence.java
@@ -0,0 +1,81 @@
+package org.kumquatvane.ejection.internal;
+
+import org.kumquatvane.ejection.Observation;
+
+/** Outcomes of attempts at one instance, each weighted by an exponential decay of its age. */
+final class DecayedEvidence {
+  private final double timeConstantNanos;
+  private long updatedNanos;
+  private double attempts;
+  private double failures;
+  private double samples;
+  private double logSum;
+  private double logSquareSum;
+
+  DecayedEvidence(long timeConstantNanos, long nowNanos) {
+    this.timeConstantNanos = timeConstantNanos;
+    updatedNanos = nowNanos;
+  }
+
+  /** Adds an observation that is evidence; shed and cancelled attempts must not come here. */
+  void add(Observation observation, long nowNanos) {
+    decay(nowNanos);
+    attempts++;
+    if (observation.kind() != Observation.Kind.SUCCESS) {
+      failures++;
+      return;
+    }
+    double log = logOf(observation);
+    samples++;
+    logSum += log;
+    logSquareSum += log * log;
+  }
+
+  /** Returns the natural logarithm of a latency in microseconds, at least 0. */
+  static double logOf(Observation observation) {
+    return Math.log(Math.max(1, observation.latency().toNanos() / 1_000.0));
+  }
+
+  void decay(long nowNanos) {
+    double factor = Math.exp((updatedNanos - nowNanos) / timeConstantNanos);
+    updatedNanos = nowNanos;
+    attempts *= factor;
+    failures *= factor;
+    samples *= factor;
+    logSum *= factor;
+    logSquareSum *= factor;
+  }
+
+  void clear() {
+    attempts = 0;
+    failures = 0;
+    samples = 0;
+    logSum = 0;
+    logSquareSum = 0;
+  }
+
+  double attempts() {
+    return attempts;
+  }
+
+  double failures() {
+    return failures;
+  }
+
+  double failureRate() {
+    return attempts > 0 ? failures / attempts : 0;
+  }
+
+  double samples() {
+    return samples;
+  }
+
+  double meanLog() {
+    return samples > 0 ? logSum / samples : 0;
+  }
+
+  /** Returns the sum of the squared differences from the mean. */
+  double squaredDifferences() {
+    return samples > 0 ? Math.max(0, logSquareSum - logSum * logSum / samples) : 0;
+  }
+}
--- /dev/null
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/EvidenceSum.java
@@ -0,0 +1,47 @@
+package org.kumquatvane.ejection.internal;
+
+import org.kumquatvane.ejection.InstanceEvidence;
+
+/** Counts of several VMs on one instance, added up. */
+final class EvidenceSum {
+  private double attempts;
+  private double failures;
+  private double samples;
+  private double deviationSum;
+
+  void add(InstanceEvidence.Counts counts) {
+    attempts += counts.attempts();
+    failures += counts.failures();
+    samples += counts.latencySamples();
+    deviationSum += counts.latencySamples() * counts.latencyDeviation();
+  }
+
+  EvidenceSum without(InstanceEvidence.Counts counts) {
+    EvidenceSum rest = new EvidenceSum();
+    rest.attempts = attempts - counts.attempts();
+    rest.failures = failures - counts.failures();
+    rest.samples = samples - counts.latencySamples();
+    rest.deviationSum = deviationSum - counts.latencySamples() * counts.latencyDeviation();
+    return rest;
+  }
+
+  double attempts() {
+    return attempts;
+  }
+
+  double failures() {
+    return failures;
+  }
+
+  double failureRate() {
+    return attempts > 0 ? failures / attempts : 0;
+  }
+
+  double samples() {
+    return samples;
+  }
+
+  double deviation() {
+    return samples > 0 ? deviationSum / samples : 0;
+  }
+}
--- /dev/null
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Evidence, judgement and capacity floor of one service. */
+@NullMarked
+package org.kumquatvane.ejection.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-ejection/src/test/java/org/kumquatvane/ejection/FloorProperty.java
@@ -0,0 +1,43 @@
+package org.kumquatvane.ejection;
+
+import java.time.Duration;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.kumquatvane.document.EjectionProfile;
+
+/** Guards against healthy capacity below the floor, whatever fails and whatever the lists say. */
+class FloorProperty {
+  @Property(tries = 60, seed = "42")
+  void floorHoldsUnderRandomFaultsAndLists(
+      @ForAll long seed,
+      @ForAll @IntRange(min = 1, max = 6) int vms,
+      @ForAll @IntRange(min = 3, max = 12) int instances,
+      @ForAll @IntRange(min = 0, max = 100) int floorPercent) {
+    HealthFleet fleet = new HealthFleet(vms, EjectionProfile.FAST, floorPercent, seed);
+    fleet.network.setFaults(0.2, 0.1);
+    fleet.list(instances);
+    for (int round = 0; round < 12; round++) {
+      boolean[] bad = new boolean[instances];
+      for (int i = 0; i < instances; i++) {
+        bad[i] = fleet.random.nextInt(3) == 0;
+      }
+      fleet.run(
+          Duration.ofSeconds(1 + fleet.random.nextInt(8)),
+          instances,
+          20,
+          (vm, instance) -> bad[instance] ? HealthFleet.timeout() : fleet.answer(1));
+      int live = 1 + fleet.random.nextInt(instances);
+      fleet.list(live, instances - live);
+      for (int vm = 0; vm < vms; vm++) {
+        int healthy = 0;
+        for (int i = 0; i < live; i++) {
+          healthy += fleet.isEjected(vm, i) ? 0 : 1;
+        }
+        if (healthy * 100 < live * floorPercent && healthy < live) {
+          throw new AssertionError("healthy=" + healthy + " live=" + live);
+        }
+      }
+    }
+  }
+}
