--- a/kumquatvane-admin/src/main/java/org/kumquatvane/admin/AdminServer.java
+++ b/kumquatvane-admin/src/main/java/org/kumquatvane/admin/AdminServer.java
@@ -18,7 +18,6 @@
 import io.servicetalk.http.api.HttpSerializers;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.netty.HttpServers;
-import io.servicetalk.transport.api.IoExecutor;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
@@ -83,17 +82,15 @@
   /**
    * Starts to listen.
    *
-   * @param ioExecutor threads of the connections
    * @throws IOException if the address cannot be bound
    */
-  public void start(IoExecutor ioExecutor) throws IOException {
+  public void start() throws IOException {
     InetSocketAddress address =
         new InetSocketAddress(settings.endpoint().host(), settings.endpoint().port());
     try {
       context =
           HttpServers.forAddress(address)
               .executionStrategy(HttpExecutionStrategies.offloadNone())
-              .ioExecutor(ioExecutor)
               .listenAndAwait((unused, request, responses) -> handle(request, responses));
     } catch (IOException e) {
       throw e;
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnections.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnections.java
@@ -8,7 +8,6 @@
 import io.servicetalk.http.netty.HttpClients;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
-import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -39,17 +38,14 @@
 
   private final RankedLock lock = new RankedLock(LockRank.CONNECTIONS);
   private final Map<SocketEndpoint, ConnectionSet> sets = new HashMap<>();
-  private final IoExecutor ioExecutor;
   private final Clock clock;
 
   /**
    * Creates a table without connections.
    *
-   * @param ioExecutor threads of the connections
    * @param clock clock of the idle deadlines
    */
-  public BackendConnections(IoExecutor ioExecutor, Clock clock) {
-    this.ioExecutor = ioExecutor;
+  public BackendConnections(Clock clock) {
     this.clock = clock;
   }
 
@@ -169,7 +165,6 @@
     return HttpClients.forResolvedAddress(new InetSocketAddress(endpoint.host(), endpoint.port()))
         .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
         .executionStrategy(HttpExecutionStrategies.offloadNone())
-        .ioExecutor(ioExecutor)
         .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
         .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
         .buildStreaming();
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/CallerServer.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/CallerServer.java
@@ -4,10 +4,8 @@
 import io.servicetalk.http.api.HttpProtocolConfig;
 import io.servicetalk.http.api.HttpServerBuilder;
 import io.servicetalk.http.api.HttpServerContext;
-import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
-import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.api.ServerSslConfigBuilder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -16,9 +14,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.kumquatvane.core.Clock;
-import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.http.internal.CallerService;
 import org.kumquatvane.http.internal.ReloadingKeyManager;
 import org.kumquatvane.http.internal.SingleKeyManagerFactory;
 
@@ -37,26 +34,18 @@
    * Starts to listen.
    *
    * @param settings where and how
-   * @param service handles the requests
-   * @param ioExecutor threads of the connections
-   * @param clock clock of the certificate checks
-   * @param eventLog receives certificate events
+   * @param dependencies what it works with
    * @return the running server
    * @throws IOException if the address cannot be bound or a certificate file cannot be read
    * @throws GeneralSecurityException if a certificate file has another form
    */
   public static CallerServer start(
-      CallerServerSettings settings,
-      StreamingHttpService service,
-      IoExecutor ioExecutor,
-      Clock clock,
-      EventLog eventLog)
+      CallerServerSettings settings, CallerServerDependencies dependencies)
       throws IOException, GeneralSecurityException {
     SocketEndpoint endpoint = settings.endpoint();
     HttpServerBuilder builder =
         HttpServers.forAddress(new InetSocketAddress(endpoint.host(), endpoint.port()))
-            .executionStrategy(HttpExecutionStrategies.offloadNone())
-            .ioExecutor(ioExecutor);
+            .executionStrategy(HttpExecutionStrategies.offloadNone());
     int decoderLimit = settings.limits().maximumHeadBytes() * DECODER_HEAD_FACTOR;
     HttpProtocolConfig http1 =
         HttpProtocolConfigs.h1()
@@ -65,7 +54,9 @@
             .build();
     HttpProtocolConfig http2 = HttpProtocolConfigs.h2Default();
     if (settings.tls().isPresent()) {
-      ReloadingKeyManager keys = new ReloadingKeyManager(settings.tls().get(), clock, eventLog);
+      ReloadingKeyManager keys =
+          new ReloadingKeyManager(
+              settings.tls().get(), dependencies.clock(), dependencies.eventLog());
       builder
           .protocols(http2, http1)
           .sslConfig(new ServerSslConfigBuilder(new SingleKeyManagerFactory(keys)).build());
@@ -73,7 +64,8 @@
       builder.protocols(settings.protocol() == CallerProtocol.HTTP2 ? http2 : http1);
     }
     try {
-      return new CallerServer(builder.listenStreamingAndAwait(service));
+      return new CallerServer(
+          builder.listenStreamingAndAwait(new CallerService(dependencies, settings.limits())));
     } catch (IOException e) {
       throw e;
     } catch (Exception e) {
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CallerService.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CallerService.java
@@ -15,7 +15,6 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import io.servicetalk.http.api.StreamingHttpService;
 import java.util.function.BooleanSupplier;
-import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.Counters;
 import org.kumquatvane.core.InvariantMonitor;
 import org.kumquatvane.core.Reason;
@@ -28,6 +27,7 @@
 import org.kumquatvane.engine.RequestEngine;
 import org.kumquatvane.http.BackendConnections;
 import org.kumquatvane.http.BodyLimits;
+import org.kumquatvane.http.CallerServerDependencies;
 
 /** Hands each request of a caller to the engine, on the worker pool. */
 public final class CallerService implements StreamingHttpService {
@@ -44,31 +44,17 @@
   /**
    * Creates the service.
    *
-   * @param engine decides about requests
-   * @param workers runs decisions
-   * @param connections connections to backend servers
+   * @param dependencies what it works with
    * @param limits sizes of heads and bodies
-   * @param clock time of arrival
-   * @param counters counts refusals of this module
-   * @param monitor receives violations
-   * @param isDraining whether callers are to open new connections elsewhere
    */
-  public CallerService(
-      RequestEngine engine,
-      WorkerPool workers,
-      BackendConnections connections,
-      BodyLimits limits,
-      Clock clock,
-      Counters counters,
-      InvariantMonitor monitor,
-      BooleanSupplier isDraining) {
-    this.engine = engine;
-    this.workers = workers;
-    this.connections = connections;
-    this.counters = counters;
-    this.monitor = monitor;
-    this.isDraining = isDraining;
-    heads = new HeadReader(clock, limits);
+  public CallerService(CallerServerDependencies dependencies, BodyLimits limits) {
+    engine = dependencies.engine();
+    workers = dependencies.workers();
+    connections = dependencies.connections();
+    counters = dependencies.counters();
+    monitor = dependencies.monitor();
+    isDraining = dependencies.isDraining();
+    heads = new HeadReader(dependencies.clock(), limits);
     budget = new BufferBudget(limits.maximumBufferedBytes());
     bodies = new BodyReader(limits, budget);
   }
--- a/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformClient.java
+++ b/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformClient.java
@@ -9,7 +9,6 @@
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.netty.HttpClients;
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
-import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
@@ -39,13 +38,11 @@
    * Creates a client; connections are opened when needed.
    *
    * @param platform address of the platform
-   * @param ioExecutor threads of the connections
    */
-  public PlatformClient(SocketEndpoint platform, IoExecutor ioExecutor) {
+  public PlatformClient(SocketEndpoint platform) {
     client =
         HttpClients.forResolvedAddress(new InetSocketAddress(platform.host(), platform.port()))
             .executionStrategy(HttpExecutionStrategies.offloadNone())
-            .ioExecutor(ioExecutor)
             .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
             .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
             .build();
--- /dev/null
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/InstanceFeed.java
@@ -0,0 +1,49 @@
+package org.kumquatvane.server.internal;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.engine.RequestEngine;
+import org.kumquatvane.http.BackendConnections;
+import org.kumquatvane.membership.BackendVm;
+import org.kumquatvane.membership.VmList;
+import org.kumquatvane.membership.VmListListener;
+import org.kumquatvane.membership.VmState;
+import org.kumquatvane.selection.Instance;
+import org.kumquatvane.selection.InstancePool;
+
+/** Passes the backend VMs of each newer VM list on to the instance pool and the connections. */
+public final class InstanceFeed implements VmListListener {
+  private final InstancePool instances;
+  private final BackendConnections connections;
+  private final RequestEngine engine;
+
+  /**
+   * Creates a feed.
+   *
+   * @param instances the instance pool
+   * @param connections connections to backend servers
+   * @param engine wakes waiting requests
+   */
+  public InstanceFeed(
+      InstancePool instances, BackendConnections connections, RequestEngine engine) {
+    this.instances = instances;
+    this.connections = connections;
+    this.engine = engine;
+  }
+
+  @Override
+  public void vmListChanged(VmList list) {
+    List<Instance> listed = list.backendVms().stream().map(InstanceFeed::instance).toList();
+    instances.update(listed);
+    connections.update(listed);
+    Set<ServiceName> services = listed.stream().map(Instance::service).collect(Collectors.toSet());
+    services.forEach(engine::capacityAvailable);
+  }
+
+  private static Instance instance(BackendVm vm) {
+    return new Instance(
+        vm.id(), vm.service(), vm.address(), vm.failureDomain(), vm.state() == VmState.LEAVING);
+  }
+}
--- /dev/null
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/ProcessRuntime.java
@@ -0,0 +1,110 @@
+package org.kumquatvane.server.internal;
+
+import com.codahale.metrics.MetricRegistry;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Counters;
+import org.kumquatvane.core.EventLog;
+import org.kumquatvane.core.FixedWorkerPool;
+import org.kumquatvane.core.InvariantMonitor;
+import org.kumquatvane.core.Scheduler;
+import org.kumquatvane.core.SystemClock;
+import org.kumquatvane.core.TimerScheduler;
+import org.kumquatvane.core.WorkerPool;
+import org.kumquatvane.settings.Settings;
+import org.kumquatvane.telemetry.CountingInvariantMonitor;
+import org.kumquatvane.telemetry.MetricCounters;
+
+/** Threads, time and telemetry that all parts of a process share. */
+public final class ProcessRuntime implements AutoCloseable {
+  private final Clock clock = new SystemClock();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final Counters counters = new MetricCounters(metrics);
+  private final EventLog eventLog;
+  private final InvariantMonitor monitor;
+  private final FixedWorkerPool workers;
+  private final TimerScheduler scheduler;
+
+  /**
+   * Starts the threads.
+   *
+   * @param settings size of the worker pool
+   * @param eventLog receives events
+   */
+  public ProcessRuntime(Settings settings, EventLog eventLog) {
+    this.eventLog = eventLog;
+    monitor = new CountingInvariantMonitor(counters, eventLog);
+    workers =
+        new FixedWorkerPool(
+            "worker", settings.workers().threads(), settings.workers().queueCapacity(), eventLog);
+    scheduler = new TimerScheduler(clock, workers);
+  }
+
+  /**
+   * Returns the clock.
+   *
+   * @return the clock of all deadlines
+   */
+  public Clock clock() {
+    return clock;
+  }
+
+  /**
+   * Returns the metrics.
+   *
+   * @return the registry of all metrics
+   */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /**
+   * Returns the counters.
+   *
+   * @return counters in the registry
+   */
+  public Counters counters() {
+    return counters;
+  }
+
+  /**
+   * Returns the event log.
+   *
+   * @return the log
+   */
+  public EventLog eventLog() {
+    return eventLog;
+  }
+
+  /**
+   * Returns the monitor.
+   *
+   * @return receives violations of invariants
+   */
+  public InvariantMonitor monitor() {
+    return monitor;
+  }
+
+  /**
+   * Returns the worker pool.
+   *
+   * @return runs all decisions
+   */
+  public WorkerPool workers() {
+    return workers;
+  }
+
+  /**
+   * Returns the scheduler.
+   *
+   * @return starts tasks at deadlines
+   */
+  public Scheduler scheduler() {
+    return scheduler;
+  }
+
+  @Override
+  public void close() {
+    scheduler.close();
+    workers.close();
+  }
+}
--- /dev/null
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/RetryPolicies.java
@@ -0,0 +1,29 @@
+package org.kumquatvane.server.internal;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Counters;
+import org.kumquatvane.retries.BudgetedRetry;
+import org.kumquatvane.retries.FixedRetry;
+import org.kumquatvane.retries.NoRetry;
+import org.kumquatvane.retries.RetryPolicy;
+import org.kumquatvane.retries.RetryRules;
+import org.kumquatvane.retries.ServiceRetryPolicy;
+
+/** Builds the retry policies that a document can name. */
+public final class RetryPolicies {
+  private RetryPolicies() {}
+
+  /**
+   * Builds the policy that follows the document.
+   *
+   * @param clock clock of the deadlines
+   * @param random source of the jitter
+   * @param counters counts exhausted budgets
+   * @return the policy
+   */
+  public static RetryPolicy create(Clock clock, UniformRandomProvider random, Counters counters) {
+    RetryPolicy fixed = new FixedRetry(new RetryRules(clock, random));
+    return new ServiceRetryPolicy(new NoRetry(), fixed, new BudgetedRetry(fixed, counters));
+  }
+}
