--- a/kumquatvane-standins/src/main/java/org/kumquatvane/standins/RequestLog.java
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/RequestLog.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.standins.ReceivedRequest.Outcome;
@@ -95,7 +94,7 @@
   }
 
   private static boolean containsKey(CharSequence value) {
-    return value.toString().toLowerCase(Locale.ROOT).contains(KEY_PREFIX);
+    return value.toString().contains(KEY_PREFIX);
   }
 
   private static @Nullable String text(@Nullable CharSequence value) {
