--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.verification;
+
+import org.jspecify.annotations.NullMarked;
