Add the network between VMs and the codecs of membership

Cause: PeerSender had no implementation. Each direction between two VMs has its own connection. A test of membership covers replacements that start at once after a VM has ended.

--- a/kumquatvane-membership/src/test/java/org/kumquatvane/membership/HeartbeatMembershipTest.java
+++ b/kumquatvane-membership/src/test/java/org/kumquatvane/membership/HeartbeatMembershipTest.java
@@ -92,16 +92,28 @@
   void splitFleetHoldsOnlyTheViewOfTheLargerSide() {
     FleetSimulation fleet = agreed(5);
     List<FleetSimulation.Member> all = fleet.running();
-    for (FleetSimulation.Member left : all.subList(0, 2)) {
-      for (FleetSimulation.Member right : all.subList(2, 5)) {
-        fleet.network.setBlocked(left.vm.id(), right.vm.id(), true);
-        fleet.network.setBlocked(right.vm.id(), left.vm.id(), true);
-      }
-    }
+    all.subList(0, 2).forEach(left -> block(fleet, left, all.subList(2, 5), true));
     fleet.untilViewOf(all.subList(2, 5), CHANGE_LIMIT);
     assertTrue(all.get(0).membership.agreedView().isEmpty());
   }
 
+  /** Without the start wait the replacements would form a second view beside the first. */
+  @Test
+  void replacementsRespectPromisesOfTheVmsTheyReplace() {
+    FleetSimulation fleet = FleetSimulation.running(4);
+    List<FleetSimulation.Member> first = fleet.running();
+    block(fleet, first.get(3), first.subList(0, 3), true);
+    fleet.untilViewOf(first.subList(0, 3), START_LIMIT);
+    first.get(1).kill();
+    first.get(2).kill();
+    FleetSimulation.Member holder = first.get(0);
+    List<FleetSimulation.Member> rest = List.of(first.get(3), fleet.startVm(), fleet.startVm());
+    block(fleet, holder, rest, true);
+    fleet.publishList();
+    fleet.untilViewOf(rest, START_LIMIT);
+    assertTrue(holder.membership.agreedView().isEmpty());
+  }
+
   @Test
   void olderVmListIsIgnored() {
     FleetSimulation fleet = agreed(3);
@@ -128,6 +140,17 @@
     assertEquals(1, selected.size());
   }
 
+  private static void block(
+      FleetSimulation fleet,
+      FleetSimulation.Member left,
+      List<FleetSimulation.Member> others,
+      boolean isBlocked) {
+    for (FleetSimulation.Member right : others) {
+      fleet.network.setBlocked(left.vm.id(), right.vm.id(), isBlocked);
+      fleet.network.setBlocked(right.vm.id(), left.vm.id(), isBlocked);
+    }
+  }
+
   private static FleetSimulation agreed(int size) {
     FleetSimulation fleet = FleetSimulation.running(size);
     fleet.untilViewOf(fleet.running(), START_LIMIT);
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetwork.java
@@ -0,0 +1,288 @@
+package org.kumquatvane.peering;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Counters;
+import org.kumquatvane.core.EventLog;
+import org.kumquatvane.core.LogField;
+import org.kumquatvane.core.PeerDispatcher;
+import org.kumquatvane.core.PeerMessage;
+import org.kumquatvane.core.PeerSender;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.core.WorkerPool;
+import org.kumquatvane.membership.Vm;
+import org.kumquatvane.membership.VmList;
+import org.kumquatvane.membership.VmListListener;
+import org.kumquatvane.peering.codec.MessageRegistry;
+import org.kumquatvane.peering.internal.Connection;
+import org.kumquatvane.peering.internal.Handshake;
+import org.kumquatvane.peering.internal.IncomingPeer;
+import org.kumquatvane.peering.internal.OutgoingPeer;
+import org.kumquatvane.peering.internal.TrafficCounters;
+
+/** TCP connections between the VMs of a fleet, all on one I/O thread. */
+public final class PeerNetwork implements PeerSender, VmListListener, AutoCloseable {
+  /** How often deadlines of connections are checked and acknowledgements are sent. */
+  private static final long SWEEP_MILLIS = 250;
+
+  private static final int READ_BUFFER_BYTES = 64 << 10;
+
+  private final VmId self;
+  private final PeerNetworkSettings settings;
+  private final MessageRegistry registry;
+  private final Clock clock;
+  private final EventLog eventLog;
+  private final TrafficCounters traffic;
+  private final Handshake handshake;
+  private final IncomingPeer.Parts incomingParts;
+  private final Map<VmId, OutgoingPeer> outgoing = new ConcurrentHashMap<>();
+  private final Set<VmId> listed = ConcurrentHashMap.newKeySet();
+  private final Queue<OutgoingPeer> signalled = new ConcurrentLinkedQueue<>();
+  private final Set<IncomingPeer> incoming = new HashSet<>();
+  private final ByteBuffer scratch = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+  private final Selector selector;
+  private final ServerSocketChannel server;
+  private final Thread thread;
+  private volatile boolean closed;
+
+  /**
+   * Opens the listening socket; {@link #start} begins to accept and connect.
+   *
+   * @param self this VM
+   * @param settings limits and times
+   * @param secret secret of the fleet
+   * @param registry codecs of the messages
+   * @param dispatcher handles received messages
+   * @param workers runs the handlers
+   * @param clock clock of the deadlines
+   * @param counters receives bytes and messages by kind and direction
+   * @param eventLog receives faults
+   * @throws IOException if the address is not available
+   */
+  public PeerNetwork(
+      VmId self,
+      PeerNetworkSettings settings,
+      FleetSecret secret,
+      MessageRegistry registry,
+      PeerDispatcher dispatcher,
+      WorkerPool workers,
+      Clock clock,
+      Counters counters,
+      EventLog eventLog)
+      throws IOException {
+    this.self = self;
+    this.settings = settings;
+    this.registry = registry;
+    this.clock = clock;
+    this.eventLog = eventLog;
+    traffic = new TrafficCounters(counters);
+    handshake = new Handshake(secret, self, settings.listen());
+    incomingParts =
+        new IncomingPeer.Parts(
+            settings, handshake, registry, dispatcher, workers, clock, eventLog, traffic);
+    selector = Selector.open();
+    server = ServerSocketChannel.open();
+    try {
+      server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      server.bind(new InetSocketAddress(settings.listen().host(), settings.listen().port()));
+      server.configureBlocking(false);
+      server.register(selector, SelectionKey.OP_ACCEPT);
+    } catch (IOException e) {
+      server.close();
+      selector.close();
+      throw e;
+    }
+    thread = new Thread(this::run, "peer-io");
+    thread.setDaemon(true);
+  }
+
+  /** Starts the I/O thread. */
+  public void start() {
+    thread.start();
+  }
+
+  @Override
+  public void send(VmId destination, PeerMessage message) {
+    OutgoingPeer peer = outgoing.get(destination);
+    if (peer == null) {
+      traffic.dropped("unknown_peer", 1);
+      return;
+    }
+    ByteBuffer frame = registry.encode(message);
+    int bytes = frame.remaining();
+    if (peer.enqueue(frame)) {
+      traffic.sent(registry.kind(message), bytes);
+      wake(peer);
+    } else {
+      traffic.dropped("send_buffer_full", 1);
+    }
+  }
+
+  @Override
+  public void vmListChanged(VmList list) {
+    Set<VmId> names = new HashSet<>();
+    for (Vm vm : list.entryVms()) {
+      if (!vm.id().equals(self)) {
+        names.add(vm.id());
+        connectTo(vm.id(), vm.peerAddress());
+      }
+    }
+    listed.addAll(names);
+    listed.retainAll(names);
+    for (VmId known : outgoing.keySet()) {
+      if (!names.contains(known)) {
+        retire(known);
+      }
+    }
+  }
+
+  private void connectTo(VmId peer, SocketEndpoint endpoint) {
+    outgoing.compute(
+        peer,
+        (id, known) -> {
+          if (known != null) {
+            known.setEndpoint(endpoint);
+            return known;
+          }
+          return new OutgoingPeer(id, endpoint, settings, handshake, clock, eventLog, traffic);
+        });
+  }
+
+  private void retire(VmId peer) {
+    @Nullable OutgoingPeer removed = outgoing.remove(peer);
+    if (removed != null) {
+      removed.retire();
+      wake(removed);
+    }
+  }
+
+  private void wake(OutgoingPeer peer) {
+    if (peer.signal()) {
+      signalled.add(peer);
+      selector.wakeup();
+    }
+  }
+
+  private void run() {
+    long lastSweepNanos = clock.monotonicNanos();
+    while (!closed) {
+      try {
+        selector.select(SWEEP_MILLIS);
+        Set<SelectionKey> selected = selector.selectedKeys();
+        selected.forEach(this::handle);
+        selected.clear();
+      } catch (IOException e) {
+        eventLog.record(EventLog.Level.WARNING, "peer_io_failed", LogField.of("error", e));
+      }
+      OutgoingPeer waiting;
+      while ((waiting = signalled.poll()) != null) {
+        waiting.pump(selector);
+      }
+      if (clock.monotonicNanos() - lastSweepNanos >= SWEEP_MILLIS * 1_000_000) {
+        lastSweepNanos = clock.monotonicNanos();
+        outgoing.values().forEach(peer -> peer.sweep(selector));
+        new ArrayList<>(incoming).forEach(IncomingPeer::sweep);
+      }
+    }
+    closeAll();
+  }
+
+  private void handle(SelectionKey key) {
+    if (!key.isValid()) {
+      return;
+    }
+    if (key.attachment() instanceof Connection connection) {
+      try {
+        connection.ready(key, scratch);
+      } catch (IOException | RuntimeException e) {
+        connection.fail(String.valueOf(e.getMessage()));
+      }
+    } else {
+      accept();
+    }
+  }
+
+  private void accept() {
+    try {
+      SocketChannel socket;
+      while ((socket = server.accept()) != null) {
+        if (incoming.size() >= settings.maximumIncomingConnections()) {
+          traffic.dropped("connections", 1);
+          socket.close();
+          continue;
+        }
+        socket.configureBlocking(false);
+        socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        SelectionKey key = socket.register(selector, SelectionKey.OP_READ);
+        IncomingPeer peer = new IncomingPeer(socket, key, incomingParts, new IncomingChanges());
+        key.attach(peer);
+        incoming.add(peer);
+      }
+    } catch (IOException e) {
+      eventLog.record(EventLog.Level.WARNING, "peer_accept_failed", LogField.of("error", e));
+    }
+  }
+
+  private void closeAll() {
+    new ArrayList<>(incoming).forEach(peer -> peer.fail("this VM stops"));
+    outgoing.values().forEach(OutgoingPeer::close);
+    try {
+      server.close();
+      selector.close();
+    } catch (IOException e) {
+      eventLog.record(EventLog.Level.DEBUG, "peer_close_failed", LogField.of("error", e));
+    }
+  }
+
+  /** Closes all connections; queued messages are lost. */
+  @Override
+  public void close() {
+    closed = true;
+    selector.wakeup();
+    if (!thread.isAlive()) {
+      closeAll();
+    }
+  }
+
+  private final class IncomingChanges implements IncomingPeer.Listener {
+    @Override
+    public void authenticated(IncomingPeer connection, VmId peer, SocketEndpoint endpoint) {
+      // A VM that the list does not show yet must still get answers.
+      if (!listed.contains(peer)) {
+        connectTo(peer, endpoint);
+      }
+      for (IncomingPeer other : new ArrayList<>(incoming)) {
+        if (other != connection && peer.equals(other.sender())) {
+          other.fail("replaced by a newer connection");
+        }
+      }
+    }
+
+    @Override
+    public void closed(IncomingPeer connection) {
+      incoming.remove(connection);
+      VmId peer = connection.sender();
+      boolean replaced =
+          incoming.stream().anyMatch(other -> peer != null && peer.equals(other.sender()));
+      if (peer != null && !listed.contains(peer) && !replaced) {
+        retire(peer);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/FieldReader.java
@@ -0,0 +1,201 @@
+package org.kumquatvane.peering.codec;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Reads the fields of one map. No declared length is trusted before the remaining bytes show that
+ * it is possible, so memory is bounded by the frame.
+ */
+public final class FieldReader {
+  private final MessageUnpacker unpacker;
+  private final long totalBytes;
+  private int remainingFields;
+
+  /**
+   * Starts to read a map.
+   *
+   * @param map its encoding
+   * @throws IOException if the bytes begin with no map
+   */
+  public FieldReader(byte[] map) throws IOException {
+    this(MessagePack.newDefaultUnpacker(map), map.length);
+  }
+
+  private FieldReader(MessageUnpacker unpacker, long totalBytes) throws IOException {
+    this.unpacker = unpacker;
+    this.totalBytes = totalBytes;
+    this.remainingFields = unpacker.unpackMapHeader();
+  }
+
+  /**
+   * Moves to the next field, whose value must then be read or skipped.
+   *
+   * @return its number, or -1 after the last one
+   * @throws IOException if the number is no integer
+   */
+  public int next() throws IOException {
+    if (remainingFields <= 0) {
+      return -1;
+    }
+    remainingFields--;
+    int field = unpacker.unpackInt();
+    if (field < 0) {
+      throw new MalformedMessageException("negative field number " + field);
+    }
+    return field;
+  }
+
+  /**
+   * Skips the value of a field that this version does not know.
+   *
+   * @throws IOException if the value is cut off
+   */
+  public void skip() throws IOException {
+    unpacker.skipValue();
+  }
+
+  /**
+   * Reads an integer.
+   *
+   * @return the value
+   * @throws IOException if the value has another type
+   */
+  public long integer() throws IOException {
+    return unpacker.unpackLong();
+  }
+
+  /**
+   * Reads an integer of 32 bits.
+   *
+   * @return the value
+   * @throws IOException if the value has another type or is larger
+   */
+  public int smallInteger() throws IOException {
+    return unpacker.unpackInt();
+  }
+
+  /**
+   * Reads a truth value.
+   *
+   * @return the value
+   * @throws IOException if the value has another type
+   */
+  public boolean bool() throws IOException {
+    return unpacker.unpackBoolean();
+  }
+
+  /**
+   * Reads a floating-point number.
+   *
+   * @return the value
+   * @throws IOException if the value has another type
+   */
+  public double real() throws IOException {
+    return unpacker.unpackDouble();
+  }
+
+  /**
+   * Reads text.
+   *
+   * @return the value
+   * @throws IOException if the value has another type or is cut off
+   */
+  public String text() throws IOException {
+    return new String(
+        unpacker.readPayload(possible(unpacker.unpackRawStringHeader())), StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Reads bytes.
+   *
+   * @return the value
+   * @throws IOException if the value has another type or is cut off
+   */
+  public byte[] bytes() throws IOException {
+    return unpacker.readPayload(possible(unpacker.unpackBinaryHeader()));
+  }
+
+  /**
+   * Reads a list of texts.
+   *
+   * @return the values
+   * @throws IOException if the value has another type or is cut off
+   */
+  public List<String> texts() throws IOException {
+    int count = possible(unpacker.unpackArrayHeader());
+    List<String> values = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      values.add(text());
+    }
+    return values;
+  }
+
+  /**
+   * Reads a list of maps.
+   *
+   * @param reader reads one element, up to its last field
+   * @param <T> type of the elements
+   * @return the values
+   * @throws IOException if the value has another type or is cut off
+   */
+  public <T> List<T> list(ElementReader<T> reader) throws IOException {
+    int count = possible(unpacker.unpackArrayHeader());
+    List<T> values = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      FieldReader element = new FieldReader(unpacker, totalBytes);
+      values.add(reader.read(element));
+      while (element.next() >= 0) {
+        element.skip();
+      }
+    }
+    return values;
+  }
+
+  /**
+   * Checks that a field was present.
+   *
+   * @param field number of the field
+   * @param value its value, null if the field was absent
+   * @param <T> type of the value
+   * @return the value
+   * @throws MalformedMessageException if the field was absent
+   */
+  public static <T> T required(int field, @org.jspecify.annotations.Nullable T value)
+      throws MalformedMessageException {
+    if (value == null) {
+      throw new MalformedMessageException("field " + field + " is missing");
+    }
+    return value;
+  }
+
+  private int possible(int length) throws MalformedMessageException {
+    long remaining = totalBytes - unpacker.getTotalReadBytes();
+    if (length < 0 || length > remaining) {
+      throw new MalformedMessageException(
+          "length " + length + " exceeds the remaining " + remaining + " bytes");
+    }
+    return length;
+  }
+
+  /**
+   * Reads one element of a list.
+   *
+   * @param <T> type of the element
+   */
+  @FunctionalInterface
+  public interface ElementReader<T> {
+    /**
+     * Reads the fields.
+     *
+     * @param fields the fields of the element
+     * @return the element
+     * @throws IOException if the fields are malformed
+     */
+    T read(FieldReader fields) throws IOException;
+  }
+}
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/FieldWriter.java
@@ -0,0 +1,144 @@
+package org.kumquatvane.peering.codec;
+
+import java.io.IOException;
+import java.util.Collection;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/** Collects the fields of one map. */
+public final class FieldWriter {
+  private final MessageBufferPacker body = MessagePack.newDefaultBufferPacker();
+  private int count;
+
+  /**
+   * Writes an integer.
+   *
+   * @param field number of the field
+   * @param value its value
+   * @throws IOException if the packer fails
+   */
+  public void integer(int field, long value) throws IOException {
+    begin(field);
+    body.packLong(value);
+  }
+
+  /**
+   * Writes a truth value.
+   *
+   * @param field number of the field
+   * @param value its value
+   * @throws IOException if the packer fails
+   */
+  public void bool(int field, boolean value) throws IOException {
+    begin(field);
+    body.packBoolean(value);
+  }
+
+  /**
+   * Writes a floating-point number.
+   *
+   * @param field number of the field
+   * @param value its value
+   * @throws IOException if the packer fails
+   */
+  public void real(int field, double value) throws IOException {
+    begin(field);
+    body.packDouble(value);
+  }
+
+  /**
+   * Writes text.
+   *
+   * @param field number of the field
+   * @param value its value
+   * @throws IOException if the packer fails
+   */
+  public void text(int field, String value) throws IOException {
+    begin(field);
+    body.packString(value);
+  }
+
+  /**
+   * Writes bytes.
+   *
+   * @param field number of the field
+   * @param value its value
+   * @throws IOException if the packer fails
+   */
+  public void bytes(int field, byte[] value) throws IOException {
+    begin(field);
+    body.packBinaryHeader(value.length);
+    body.writePayload(value);
+  }
+
+  /**
+   * Writes a list of texts.
+   *
+   * @param field number of the field
+   * @param values the texts
+   * @throws IOException if the packer fails
+   */
+  public void texts(int field, Collection<String> values) throws IOException {
+    begin(field);
+    body.packArrayHeader(values.size());
+    for (String value : values) {
+      body.packString(value);
+    }
+  }
+
+  /**
+   * Writes a list of maps.
+   *
+   * @param field number of the field
+   * @param values the values
+   * @param writer writes the fields of one value
+   * @param <T> type of the values
+   * @throws IOException if the packer fails
+   */
+  public <T> void list(int field, Collection<T> values, ElementWriter<T> writer)
+      throws IOException {
+    begin(field);
+    body.packArrayHeader(values.size());
+    for (T value : values) {
+      FieldWriter element = new FieldWriter();
+      writer.write(value, element);
+      body.writePayload(element.toByteArray());
+    }
+  }
+
+  /**
+   * Returns the map.
+   *
+   * @return its encoding
+   * @throws IOException if the packer fails
+   */
+  public byte[] toByteArray() throws IOException {
+    try (MessageBufferPacker map = MessagePack.newDefaultBufferPacker()) {
+      map.packMapHeader(count);
+      map.writePayload(body.toByteArray());
+      return map.toByteArray();
+    }
+  }
+
+  private void begin(int field) throws IOException {
+    count++;
+    body.packInt(field);
+  }
+
+  /**
+   * Writes one element of a list.
+   *
+   * @param <T> type of the element
+   */
+  @FunctionalInterface
+  public interface ElementWriter<T> {
+    /**
+     * Writes the fields.
+     *
+     * @param value the element
+     * @param fields receives its fields
+     * @throws IOException if the packer fails
+     */
+    void write(T value, FieldWriter fields) throws IOException;
+  }
+}
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/HeartbeatCodec.java
@@ -0,0 +1,49 @@
+package org.kumquatvane.peering.codec;
+
+import java.io.IOException;
+import org.kumquatvane.membership.ConfigurationMark;
+import org.kumquatvane.membership.Heartbeat;
+
+/** Codec of {@link Heartbeat}. */
+public final class HeartbeatCodec implements MessageCodec<Heartbeat> {
+  private static final int NONCE = 1;
+  private static final int VIEW_DIGEST = 2;
+  private static final int GENERATION = 3;
+  private static final int WITHDRAWAL_COUNT = 4;
+
+  @Override
+  public int type() {
+    return 1;
+  }
+
+  @Override
+  public Class<Heartbeat> messageClass() {
+    return Heartbeat.class;
+  }
+
+  @Override
+  public void write(Heartbeat message, FieldWriter fields) throws IOException {
+    fields.integer(NONCE, message.nonce());
+    fields.integer(VIEW_DIGEST, message.viewDigest());
+    fields.integer(GENERATION, message.configuration().generation());
+    fields.integer(WITHDRAWAL_COUNT, message.configuration().withdrawalCount());
+  }
+
+  @Override
+  public Heartbeat read(FieldReader fields) throws IOException {
+    int nonce = 0;
+    long viewDigest = 0;
+    long generation = 0;
+    int withdrawalCount = 0;
+    for (int field = fields.next(); field >= 0; field = fields.next()) {
+      switch (field) {
+        case NONCE -> nonce = fields.smallInteger();
+        case VIEW_DIGEST -> viewDigest = fields.integer();
+        case GENERATION -> generation = fields.integer();
+        case WITHDRAWAL_COUNT -> withdrawalCount = fields.smallInteger();
+        default -> fields.skip();
+      }
+    }
+    return new Heartbeat(nonce, viewDigest, new ConfigurationMark(generation, withdrawalCount));
+  }
+}
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/PeerCodecs.java
@@ -0,0 +1,25 @@
+package org.kumquatvane.peering.codec;
+
+import java.util.List;
+
+/**
+ * The codecs of this version. Type numbers: 1 to 9 membership, 10 to 19 distribution, 20 to 29
+ * limits, 30 to 39 operations, 40 to 49 ejection, 100 to 109 handshake.
+ */
+public final class PeerCodecs {
+  private PeerCodecs() {}
+
+  /**
+   * Returns a registry of all messages between VMs.
+   *
+   * @return the registry
+   */
+  public static MessageRegistry registry() {
+    return new MessageRegistry(
+        List.of(
+            new HeartbeatCodec(),
+            new HeartbeatReplyCodec(),
+            new ReachabilityReportCodec(),
+            new DepartureNoticeCodec()));
+  }
+}
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/FrameChannel.java
@@ -0,0 +1,78 @@
+package org.kumquatvane.peering.internal;
+
+import java.io.Closeable;
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.kumquatvane.peering.internal.FrameAssembler.FrameSink;
+
+/** Frames over one non-blocking connection. Used on the I/O thread only. */
+final class FrameChannel implements Closeable {
+  private static final int MAXIMUM_READS = 8;
+
+  private final SocketChannel channel;
+  private final SelectionKey key;
+  private final FrameAssembler assembler = new FrameAssembler(Handshake.MAXIMUM_FRAME_BYTES);
+  private final Deque<ByteBuffer> outgoing = new ArrayDeque<>();
+
+  FrameChannel(SocketChannel channel, SelectionKey key) {
+    this.channel = channel;
+    this.key = key;
+  }
+
+  void setFrameLimit(int bytes) {
+    assembler.setLimit(bytes);
+  }
+
+  /** Reads what has arrived, a bounded amount so that one peer cannot occupy the thread. */
+  void read(ByteBuffer scratch, FrameSink sink) throws IOException {
+    for (int i = 0; i < MAXIMUM_READS; i++) {
+      scratch.clear();
+      int count = channel.read(scratch);
+      if (count < 0) {
+        throw new EOFException("the peer closed the connection");
+      }
+      if (count == 0) {
+        return;
+      }
+      assembler.feed(scratch.flip(), sink);
+    }
+  }
+
+  /** Returns how many bytes left the queue. */
+  long write(ByteBuffer frame) throws IOException {
+    outgoing.add(frame);
+    return flush();
+  }
+
+  long flush() throws IOException {
+    long written = 0;
+    ByteBuffer first;
+    while ((first = outgoing.peek()) != null) {
+      written += channel.write(first);
+      if (first.hasRemaining()) {
+        break;
+      }
+      outgoing.remove();
+    }
+    int interest = SelectionKey.OP_READ | (outgoing.isEmpty() ? 0 : SelectionKey.OP_WRITE);
+    if (key.isValid() && key.interestOps() != interest) {
+      key.interestOps(interest);
+    }
+    return written;
+  }
+
+  boolean isFlushed() {
+    return outgoing.isEmpty();
+  }
+
+  @Override
+  public void close() throws IOException {
+    key.cancel();
+    channel.close();
+  }
+}
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/OutgoingPeer.java
@@ -0,0 +1,286 @@
+package org.kumquatvane.peering.internal;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.EventLog;
+import org.kumquatvane.core.LogField;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.peering.PeerNetworkSettings;
+
+/**
+ * The connection on which this VM sends to one other VM. Each direction between two VMs has a
+ * connection of its own, so that one direction can fail without the other.
+ *
+ * <p>The queue may be filled by any thread; everything else happens on the I/O thread.
+ */
+public final class OutgoingPeer implements Connection {
+  private enum State {
+    IDLE,
+    CONNECTING,
+    GREETING,
+    READY
+  }
+
+  private final VmId peer;
+  private final PeerNetworkSettings settings;
+  private final Handshake handshake;
+  private final Clock clock;
+  private final EventLog eventLog;
+  private final TrafficCounters traffic;
+  private final Queue<ByteBuffer> queue = new ConcurrentLinkedQueue<>();
+  private final AtomicLong queuedBytes = new AtomicLong();
+  private final AtomicBoolean signalled = new AtomicBoolean();
+  private volatile SocketEndpoint endpoint;
+  private volatile boolean retired;
+
+  private State state = State.IDLE;
+  private @Nullable SocketChannel socket;
+  private @Nullable FrameChannel channel;
+  private @Nullable Hello hello;
+  private @Nullable Deadline handshakeDeadline;
+  private @Nullable Deadline acknowledgementDeadline;
+  private Deadline nextAttempt;
+  private int failures;
+
+  /**
+   * Creates an unconnected peer.
+   *
+   * @param peer the other VM
+   * @param endpoint where it listens
+   * @param settings limits and times
+   * @param handshake mutual challenge
+   * @param clock clock of the deadlines
+   * @param eventLog receives changes of the connection
+   * @param traffic counts dropped messages
+   */
+  public OutgoingPeer(
+      VmId peer,
+      SocketEndpoint endpoint,
+      PeerNetworkSettings settings,
+      Handshake handshake,
+      Clock clock,
+      EventLog eventLog,
+      TrafficCounters traffic) {
+    this.peer = peer;
+    this.endpoint = endpoint;
+    this.settings = settings;
+    this.handshake = handshake;
+    this.clock = clock;
+    this.eventLog = eventLog;
+    this.traffic = traffic;
+    nextAttempt = new Deadline(clock.monotonicNanos());
+  }
+
+  /**
+   * Queues a frame unless the queue is full.
+   *
+   * @param frame the frame
+   * @return whether it was queued
+   */
+  public boolean enqueue(ByteBuffer frame) {
+    int bytes = frame.remaining();
+    if (retired || queuedBytes.addAndGet(bytes) > settings.sendBufferBytes()) {
+      queuedBytes.addAndGet(retired ? 0 : -bytes);
+      return false;
+    }
+    queue.add(frame);
+    return true;
+  }
+
+  /**
+   * Marks this peer for the I/O thread.
+   *
+   * @return true if it was not marked before
+   */
+  public boolean signal() {
+    return signalled.compareAndSet(false, true);
+  }
+
+  /**
+   * Changes where the peer listens; used for the next connection.
+   *
+   * @param changed the endpoint
+   */
+  public void setEndpoint(SocketEndpoint changed) {
+    endpoint = changed;
+  }
+
+  /** Makes the I/O thread close the connection for good. */
+  public void retire() {
+    retired = true;
+  }
+
+  /**
+   * Connects or writes, on the I/O thread.
+   *
+   * @param selector the I/O thread's selector
+   */
+  public void pump(Selector selector) {
+    signalled.set(false);
+    if (retired) {
+      fail("the VM list no longer has the peer");
+      return;
+    }
+    try {
+      if (state == State.READY) {
+        writeQueue();
+      } else if (state == State.IDLE && !queue.isEmpty() && nextAttempt.isReached(clock)) {
+        connect(selector);
+      }
+    } catch (IOException | RuntimeException e) {
+      fail(String.valueOf(e.getMessage()));
+    }
+  }
+
+  /**
+   * Closes a connection that is too slow or silent, and connects if messages wait.
+   *
+   * @param selector the I/O thread's selector
+   */
+  public void sweep(Selector selector) {
+    Deadline handshakeEnd = handshakeDeadline;
+    Deadline acknowledgementEnd = acknowledgementDeadline;
+    if (handshakeEnd != null && handshakeEnd.isReached(clock)) {
+      fail("no complete handshake in time");
+    } else if (acknowledgementEnd != null && acknowledgementEnd.isReached(clock)) {
+      traffic.dropped("silent_connections", 1);
+      fail("the connection is silent");
+    }
+    pump(selector);
+  }
+
+  @Override
+  public void ready(SelectionKey key, ByteBuffer scratch) throws IOException {
+    if (key.isConnectable()) {
+      greet(key);
+    }
+    FrameChannel current = channel;
+    if (current != null && key.isValid()) {
+      if (key.isReadable()) {
+        current.read(scratch, this::accept);
+      }
+      if (key.isValid() && key.isWritable()) {
+        current.flush();
+        if (state == State.READY) {
+          writeQueue();
+        }
+      }
+    }
+  }
+
+  private void connect(Selector selector) throws IOException {
+    SocketChannel opened = SocketChannel.open();
+    socket = opened;
+    opened.configureBlocking(false);
+    opened.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    handshakeDeadline = Deadline.after(clock, settings.handshakeTimeout());
+    state = State.CONNECTING;
+    opened.connect(new InetSocketAddress(endpoint.host(), endpoint.port()));
+    opened.register(selector, SelectionKey.OP_CONNECT, this);
+  }
+
+  private void greet(SelectionKey key) throws IOException {
+    SocketChannel connecting = (SocketChannel) key.channel();
+    connecting.finishConnect();
+    key.interestOps(SelectionKey.OP_READ);
+    FrameChannel opened = new FrameChannel(connecting, key);
+    Hello first = handshake.hello(peer);
+    channel = opened;
+    hello = first;
+    state = State.GREETING;
+    opened.write(Handshake.encode(first));
+  }
+
+  /** After the handshake the peer sends nothing but empty frames, which acknowledge. */
+  private void accept(byte[] body) throws IOException {
+    Hello first = hello;
+    FrameChannel current = channel;
+    if (state == State.READY) {
+      acknowledgementDeadline = null;
+    } else if (first != null && current != null) {
+      Challenge challenge = Handshake.decode(body, Challenge.class);
+      current.write(Handshake.encode(handshake.prove(first, challenge)));
+      state = State.READY;
+      handshakeDeadline = null;
+      failures = 0;
+      eventLog.record(EventLog.Level.DEBUG, "peer_connected", LogField.of("peer", peer));
+      writeQueue();
+    }
+  }
+
+  private void writeQueue() throws IOException {
+    FrameChannel current = channel;
+    ByteBuffer frame;
+    while (current != null && current.isFlushed() && (frame = queue.poll()) != null) {
+      queuedBytes.addAndGet(-frame.remaining());
+      current.write(frame);
+      if (acknowledgementDeadline == null) {
+        acknowledgementDeadline = Deadline.after(clock, settings.acknowledgementTimeout());
+      }
+    }
+  }
+
+  @Override
+  public void fail(String cause) {
+    if (state == State.IDLE && !retired) {
+      return;
+    }
+    close();
+    long dropped = 0;
+    ByteBuffer frame;
+    while ((frame = queue.poll()) != null) {
+      queuedBytes.addAndGet(-frame.remaining());
+      dropped++;
+    }
+    if (dropped > 0) {
+      traffic.dropped("connection_lost", dropped);
+    }
+    nextAttempt = Deadline.after(clock, settings.minimumBackoff().plusNanos(backoffNanos()));
+    failures++;
+    eventLog.record(
+        EventLog.Level.DEBUG,
+        "peer_disconnected",
+        LogField.of("peer", peer),
+        LogField.of("cause", cause));
+  }
+
+  /** Doubles with each failure; half of it is random, so that VMs do not reconnect in step. */
+  private long backoffNanos() {
+    long longest = settings.maximumBackoff().minus(settings.minimumBackoff()).toNanos();
+    long doubled = settings.minimumBackoff().toNanos() << Math.min(failures, 16);
+    long bounded = failures == 0 ? 0 : Math.min(longest, doubled);
+    return bounded / 2 + ThreadLocalRandom.current().nextLong(bounded / 2 + 1);
+  }
+
+  /** Closes the socket. */
+  public void close() {
+    SocketChannel open = socket;
+    state = State.IDLE;
+    socket = null;
+    channel = null;
+    hello = null;
+    handshakeDeadline = null;
+    acknowledgementDeadline = null;
+    if (open != null) {
+      try {
+        open.close();
+      } catch (IOException ignored) {
+        // The connection is given up either way.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Connections between VMs; used by no other module. */
+@NullMarked
+package org.kumquatvane.peering.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
@@ -0,0 +1,274 @@
+package org.kumquatvane.peering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.FixedWorkerPool;
+import org.kumquatvane.core.PeerDispatcher;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.core.SystemClock;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.membership.ConfigurationMark;
+import org.kumquatvane.membership.Heartbeat;
+import org.kumquatvane.membership.HeartbeatReply;
+import org.kumquatvane.membership.Vm;
+import org.kumquatvane.membership.VmList;
+import org.kumquatvane.membership.VmState;
+import org.kumquatvane.peering.codec.PeerCodecs;
+import org.kumquatvane.testing.DiscardingEventLog;
+import org.kumquatvane.testing.RecordingCounters;
+
+/** Guards against unauthenticated, oversized, lost and silent connections between VMs. */
+class PeerNetworkTest {
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final String SECRET = "a fleet secret of the tests";
+  private static final Heartbeat MESSAGE = new Heartbeat(1, 2, ConfigurationMark.NONE);
+
+  private final List<Node> nodes = new ArrayList<>();
+
+  @AfterEach
+  void closeNodes() {
+    nodes.forEach(Node::close);
+  }
+
+  @Test
+  void messagesArriveBothWaysAndAreCounted() throws Exception {
+    Node first = start("e1", SECRET);
+    Node second = start("e2", SECRET);
+    publish(first, second);
+    first.network.send(second.id, MESSAGE);
+    second.network.send(first.id, new HeartbeatReply(1, 2));
+    await(() -> second.received.contains("e1 " + MESSAGE) && first.received.size() == 1);
+    assertEquals(1, first.counters.value("peer.sent.messages.heartbeat"));
+    assertEquals(
+        first.counters.value("peer.sent.bytes.heartbeat"),
+        second.counters.value("peer.received.bytes.heartbeat"));
+  }
+
+  /** A starting VM asks peers before their lists show it. */
+  @Test
+  void unlistedVmGetsAnswers() throws Exception {
+    Node listed = start("e1", SECRET);
+    Node starting = start("e2", SECRET);
+    starting.network.vmListChanged(list(listed));
+    starting.network.send(listed.id, MESSAGE);
+    await(() -> listed.received.size() == 1);
+    listed.network.send(starting.id, new HeartbeatReply(1, 2));
+    await(() -> starting.received.size() == 1);
+  }
+
+  @Test
+  void wrongSecretIsRefusedOnBothSides() throws Exception {
+    Node first = start("e1", SECRET);
+    Node stranger = start("e2", "another secret of some length");
+    publish(first, stranger);
+    first.network.send(stranger.id, MESSAGE);
+    stranger.network.send(first.id, MESSAGE);
+    await(
+        () ->
+            first.counters.value("peer.dropped.connection_lost") > 0
+                && stranger.counters.value("peer.dropped.connection_lost") > 0);
+    assertTrue(first.received.isEmpty() && stranger.received.isEmpty());
+  }
+
+  @Test
+  void addressOfReplacedVmTakesNoMessages() throws Exception {
+    Node first = start("e1", SECRET);
+    Node replacement = start("e3", SECRET);
+    Vm stale = replacement.vm("e2");
+    first.network.vmListChanged(new VmList(1, List.of(stale), List.of()));
+    first.network.send(stale.id(), MESSAGE);
+    await(() -> first.counters.value("peer.dropped.connection_lost") > 0);
+    assertTrue(replacement.received.isEmpty());
+  }
+
+  /** Anything but a handshake ends the connection, before memory is spent on it. */
+  @ParameterizedTest
+  @ValueSource(strings = {"7fffffff", "00000401", "0000000181006500", "000000028100", "ffffffff"})
+  void unauthenticatedBytesEndTheConnection(String hex) throws Exception {
+    Node node = start("e1", SECRET);
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), node.port)) {
+      socket.setSoTimeout((int) LIMIT.toMillis());
+      socket.getOutputStream().write(java.util.HexFormat.of().parseHex(hex));
+      InputStream in = socket.getInputStream();
+      assertEquals(-1, readOrReset(in));
+    }
+  }
+
+  @Test
+  void lostConnectionIsOpenedAgain() throws Exception {
+    Node first = start("e1", SECRET);
+    Node second = start("e2", SECRET);
+    publish(first, second);
+    first.network.send(second.id, MESSAGE);
+    await(() -> second.received.size() == 1);
+    second.close();
+    Node again = new Node("e2", SECRET, second.port);
+    nodes.add(again);
+    await(
+        () -> {
+          first.network.send(again.id, MESSAGE);
+          return !again.received.isEmpty();
+        });
+  }
+
+  /** A device between the VMs has lost the connection's state, while new connections work. */
+  @Test
+  void silentConnectionIsReplaced() throws Exception {
+    Node first = start("e1", SECRET);
+    Node second = start("e2", SECRET);
+    try (SilencingForwarder forwarder = new SilencingForwarder(second.port)) {
+      first.network.vmListChanged(new VmList(1, List.of(vm("e2", forwarder.port())), List.of()));
+      first.network.send(second.id, MESSAGE);
+      await(() -> second.received.size() == 1);
+      forwarder.silence();
+      await(
+          () -> {
+            first.network.send(second.id, MESSAGE);
+            return second.received.size() > 1;
+          });
+      assertTrue(first.counters.value("peer.dropped.silent_connections") > 0);
+    }
+  }
+
+  @Test
+  void idleConnectionStaysOpen() throws Exception {
+    Node first = start("e1", SECRET);
+    Node second = start("e2", SECRET);
+    publish(first, second);
+    first.network.send(second.id, MESSAGE);
+    await(() -> second.received.size() == 1);
+    // Twice the acknowledgement timeout; the acknowledgement must have ended it.
+    Thread.sleep(3_000);
+    first.network.send(second.id, MESSAGE);
+    await(() -> second.received.size() == 2);
+    assertEquals(0, first.counters.value("peer.dropped.silent_connections"));
+  }
+
+  /** A peer that accepts and never answers. */
+  @Test
+  void silentPeerCostsBoundedMemory() throws Exception {
+    Node first = start("e1", SECRET);
+    try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Vm vm = vm("e2", silent.getLocalPort());
+      first.network.vmListChanged(new VmList(1, List.of(vm), List.of()));
+      for (int i = 0; i < 200_000; i++) {
+        first.network.send(vm.id(), MESSAGE);
+      }
+      assertTrue(first.counters.value("peer.dropped.send_buffer_full") > 0);
+      await(() -> first.counters.value("peer.dropped.connection_lost") > 0);
+    }
+  }
+
+  @Test
+  void fleetSecretIsNotPrinted() {
+    byte[] bytes = SECRET.getBytes(StandardCharsets.UTF_8);
+    assertEquals("FleetSecret[hidden]", new FleetSecret(bytes).toString());
+  }
+
+  private static int readOrReset(InputStream in) {
+    try {
+      return in.read();
+    } catch (IOException reset) {
+      return reset instanceof java.net.SocketTimeoutException ? 0 : -1;
+    }
+  }
+
+  private Node start(String id, String secret) throws IOException {
+    Node node = new Node(id, secret, 0);
+    nodes.add(node);
+    return node;
+  }
+
+  private static Vm vm(String name, int port) {
+    return new Vm(
+        new VmId(name),
+        new SocketEndpoint("127.0.0.1", port),
+        new FailureDomain("a"),
+        VmState.LIVE);
+  }
+
+  private static void publish(Node... members) {
+    for (Node node : members) {
+      node.network.vmListChanged(list(members));
+    }
+  }
+
+  private static VmList list(Node... members) {
+    List<Vm> vms = new ArrayList<>();
+    for (Node node : members) {
+      vms.add(node.vm(node.id.value()));
+    }
+    return new VmList(1, vms, List.of());
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + LIMIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "condition not reached within " + LIMIT);
+      Thread.sleep(10);
+    }
+  }
+
+  private static final class Node {
+    final VmId id;
+    final int port;
+    final PeerNetwork network;
+    final Queue<String> received = new ConcurrentLinkedQueue<>();
+    final RecordingCounters counters = new RecordingCounters();
+    private final FixedWorkerPool workers;
+
+    Node(String name, String secret, int wantedPort) throws IOException {
+      id = new VmId(name);
+      port = wantedPort == 0 ? freePort() : wantedPort;
+      workers = new FixedWorkerPool(name, 2, 100, new DiscardingEventLog());
+      PeerDispatcher dispatcher = new PeerDispatcher();
+      dispatcher.register(Heartbeat.class, (from, m) -> received.add(from + " " + m));
+      dispatcher.register(HeartbeatReply.class, (from, m) -> received.add(from + " " + m));
+      network =
+          new PeerNetwork(
+              id,
+              PeerNetworkSettings.defaults(new SocketEndpoint("127.0.0.1", port)),
+              new FleetSecret(secret.getBytes(StandardCharsets.UTF_8)),
+              PeerCodecs.registry(),
+              dispatcher,
+              workers,
+              new SystemClock(),
+              counters,
+              new DiscardingEventLog());
+      network.start();
+    }
+
+    Vm vm(String name) {
+      return PeerNetworkTest.vm(name, port);
+    }
+
+    void close() {
+      network.close();
+      workers.close();
+    }
+
+    private static int freePort() throws IOException {
+      try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      }
+    }
+  }
+}
