--- /dev/null
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/FaultCollector.java
@@ -0,0 +1,70 @@
+package org.kumquatvane.json;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Collects the faults of one input and the parts that it names. */
+public final class FaultCollector {
+  /** Bounds memory for an input that is wrong everywhere. */
+  public static final int MAXIMUM_FAULTS = 1_000;
+
+  private final List<Fault> faults = new ArrayList<>();
+  private long omitted;
+
+  /**
+   * Adds a fault, or only counts it when {@link #MAXIMUM_FAULTS} are kept already.
+   *
+   * @param place where
+   * @param problem what is wrong
+   * @param remedy what to do about it
+   */
+  public void add(Place place, String problem, String remedy) {
+    if (faults.size() < MAXIMUM_FAULTS) {
+      faults.add(new Fault(place, problem, remedy));
+    } else {
+      omitted++;
+    }
+  }
+
+  /**
+   * Tells whether there is no fault.
+   *
+   * @return true if nothing was added
+   */
+  public boolean isEmpty() {
+    return faults.isEmpty();
+  }
+
+  /**
+   * Returns how many faults were added, so that a caller can tell whether a part has any.
+   *
+   * @return the count, including omitted ones
+   */
+  public long count() {
+    return faults.size() + omitted;
+  }
+
+  /**
+   * Returns the faults in the order of the inputs; a last one gives the number of omitted ones if
+   * there are any.
+   *
+   * @return a copy
+   */
+  public List<Fault> faults() {
+    List<Fault> all = new ArrayList<>(faults);
+    List<String> sources = faults.stream().map(fault -> fault.place().source()).distinct().toList();
+    all.sort(
+        Comparator.comparingInt((Fault fault) -> sources.indexOf(fault.place().source()))
+            .thenComparingInt(fault -> fault.place().line())
+            .thenComparingInt(fault -> fault.place().column()));
+    if (omitted > 0) {
+      all.add(
+          new Fault(
+              all.get(all.size() - 1).place(),
+              omitted + " further faults are not listed",
+              "correct the listed ones first and check again"));
+    }
+    return List.copyOf(all);
+  }
+}
