Add leased shares for rate and burst across the fleet

Cause: the fixed division refuses requests of workspaces whose callers arrive at few VMs, and every request of a workspace whose burst is smaller than the number of VMs. It also started each bucket full, so a replaced VM admitted a second burst.

--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/StaticDivisionLimiter.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/StaticDivisionLimiter.java
@@ -12,7 +12,7 @@
 import org.kumquatvane.core.WorkspaceId;
 import org.kumquatvane.document.Document;
 import org.kumquatvane.document.DocumentListener;
-import org.kumquatvane.document.RateLimit;
+import org.kumquatvane.limits.internal.RatedWorkspace;
 
 /**
  * Gives each VM the fixed fraction {@code 1 / maximumVmCount} of each workspace.
@@ -25,9 +25,11 @@
 
   private final RankedLock lock = new RankedLock(LockRank.LIMITS);
   private final Clock clock;
-  private final Map<WorkspaceId, RateLimit> rates = new HashMap<>();
+  private final Map<WorkspaceId, RatedWorkspace> rates = new HashMap<>();
   private final Map<WorkspaceId, TokenBucket> buckets = new HashMap<>();
   private double fraction;
+  private long refillFromNanos;
+  private boolean stopped;
 
   /**
    * Creates a limiter that admits nothing before the first document.
@@ -36,6 +38,26 @@
    */
   public StaticDivisionLimiter(Clock clock) {
     this.clock = clock;
+    refillFromNanos = clock.monotonicNanos();
+  }
+
+  /**
+   * Starts with empty buckets after another mechanism was in use.
+   *
+   * @param fromNanos monotonic time from which tokens are refilled
+   */
+  public void start(long fromNanos) {
+    lock.run(
+        () -> {
+          buckets.clear();
+          refillFromNanos = fromNanos;
+          stopped = false;
+        });
+  }
+
+  /** Admits nothing until it is started again. */
+  public void stop() {
+    lock.run(() -> stopped = true);
   }
 
   @Override
@@ -44,16 +66,28 @@
   }
 
   private void apply(Document document) {
+    long now = clock.monotonicNanos();
+    Map<WorkspaceId, RatedWorkspace> updated = new HashMap<>();
+    document
+        .workspaces()
+        .forEach(
+            workspace ->
+                updated.put(
+                    workspace.id(),
+                    RatedWorkspace.of(workspace.rate(), rates.get(workspace.id()), now)));
+    buckets.keySet().retainAll(updated.keySet());
+    if (fraction > 0 && fraction != 1.0 / document.fleet().maximumVmCount()) {
+      // Tokens counted back from the past would be counted with the new fraction.
+      refillFromNanos = Math.max(refillFromNanos, now);
+    }
     fraction = 1.0 / document.fleet().maximumVmCount();
     rates.clear();
-    document.workspaces().forEach(workspace -> rates.put(workspace.id(), workspace.rate()));
-    buckets.keySet().retainAll(rates.keySet());
-    long now = clock.monotonicNanos();
+    rates.putAll(updated);
     buckets.forEach(
         (id, bucket) -> {
-          RateLimit rate = rates.get(id);
-          if (rate != null) {
-            bucket.resize(rate, fraction, now);
+          RatedWorkspace rated = rates.get(id);
+          if (rated != null) {
+            bucket.resize(rated.rate(), fraction, now);
           }
         });
   }
@@ -64,13 +98,16 @@
   }
 
   private LimitDecision decide(WorkspaceId workspace) {
-    @Nullable RateLimit rate = rates.get(workspace);
-    if (rate == null) {
+    @Nullable RatedWorkspace rated = rates.get(workspace);
+    long now = clock.monotonicNanos();
+    if (rated == null || stopped || now - refillFromNanos < 0) {
       return new LimitDecision.Unsettled();
     }
-    long now = clock.monotonicNanos();
+    // The bucket of an idle workspace is filled as if it had existed since the start.
+    long since = Math.max(refillFromNanos, rated.sinceNanos());
     TokenBucket bucket =
-        buckets.computeIfAbsent(workspace, unused -> new TokenBucket(rate, fraction, now));
+        buckets.computeIfAbsent(
+            workspace, unused -> new TokenBucket(rated.rate(), fraction, since));
     if (bucket.take(1, now)) {
       return new LimitDecision.Admitted();
     }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/TokenBucket.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/TokenBucket.java
@@ -6,21 +6,28 @@
 public final class TokenBucket {
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** A clock that runs fast by the drift bound still refills no more than the rate. */
+  private static final double SLOWEST = 1 - LeaseSettings.DRIFT_BOUND;
+
+  /** Rounding of fractions that add up to 1 must not cost a whole token. */
+  private static final double ROUNDING = 1e-9;
+
   private double refillPerNano;
   private double capacity;
   private double level;
   private long updatedNanos;
 
   /**
-   * Creates a full bucket.
+   * Creates an empty bucket. A new bucket holds no tokens, since another VM may have spent the ones
+   * of the same fraction just before.
    *
    * @param rate rate and burst of the workspace
    * @param fraction owned part of both, 0 to 1
    * @param nowNanos monotonic time
    */
   public TokenBucket(RateLimit rate, double fraction, long nowNanos) {
+    updatedNanos = nowNanos;
     resize(rate, fraction, nowNanos);
-    level = capacity;
   }
 
   /**
@@ -31,9 +38,21 @@
    * @param nowNanos monotonic time
    */
   public void resize(RateLimit rate, double fraction, long nowNanos) {
+    resize(rate, fraction, 0, nowNanos);
+  }
+
+  /**
+   * Changes the owned part and the part of the capacity that tokens in transit occupy.
+   *
+   * @param rate rate and burst of the workspace
+   * @param fraction owned part of both, 0 to 1
+   * @param reserved tokens that were granted to others and may still be unspent
+   * @param nowNanos monotonic time
+   */
+  public void resize(RateLimit rate, double fraction, double reserved, long nowNanos) {
     refill(nowNanos);
-    refillPerNano = rate.requestsPerSecond() * fraction / NANOS_PER_SECOND;
-    capacity = rate.burstRequests() * fraction;
+    refillPerNano = rate.requestsPerSecond() * fraction * SLOWEST / NANOS_PER_SECOND;
+    capacity = Math.max(0, rate.burstRequests() * fraction - reserved);
     level = Math.min(level, capacity);
   }
 
@@ -46,10 +65,10 @@
    */
   public boolean take(double amount, long nowNanos) {
     refill(nowNanos);
-    if (level < amount) {
+    if (level + ROUNDING < amount) {
       return false;
     }
-    level -= amount;
+    level = Math.max(0, level - amount);
     return true;
   }
 
@@ -62,10 +81,10 @@
    */
   public long nanosUntil(double amount, long nowNanos) {
     refill(nowNanos);
-    if (amount <= level) {
+    if (amount <= level + ROUNDING) {
       return 0;
     }
-    if (amount > capacity || refillPerNano <= 0) {
+    if (amount > capacity + ROUNDING || refillPerNano <= 0) {
       return Long.MAX_VALUE;
     }
     return (long) Math.ceil((amount - level) / refillPerNano);
@@ -82,6 +101,28 @@
     return level;
   }
 
+  /**
+   * Adds tokens that another VM gave up; what exceeds the capacity is lost.
+   *
+   * @param amount tokens, not negative
+   * @param nowNanos monotonic time
+   */
+  public void add(double amount, long nowNanos) {
+    refill(nowNanos);
+    level = Math.min(capacity, level + amount);
+  }
+
+  /**
+   * Tells whether the bucket holds all it can.
+   *
+   * @param nowNanos monotonic time
+   * @return whether the capacity is reached
+   */
+  public boolean isFull(long nowNanos) {
+    refill(nowNanos);
+    return level >= capacity;
+  }
+
   /** Drops all tokens. */
   public void empty() {
     level = 0;
--- /dev/null
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LeaseBook.java
@@ -0,0 +1,105 @@
+package org.kumquatvane.limits.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.kumquatvane.core.VmId;
+
+/**
+ * Fractions of one workspace in one direction, lent or borrowed, by the other VM. Not thread-safe.
+ *
+ * <p>A grant states the total that the borrower holds until a deadline, not an addition: at each
+ * moment the largest grant counts whose deadline is not reached. The lender records every grant
+ * with a later deadline than the borrower does, so lost, doubled and late grants leave the lender
+ * with at least what the borrower uses.
+ */
+public final class LeaseBook {
+  private final Map<VmId, List<Lease>> leases = new HashMap<>();
+
+  /**
+   * Records a grant.
+   *
+   * @param other the other VM
+   * @param fraction total held until the deadline
+   * @param untilNanos monotonic time at which it ends
+   */
+  public void add(VmId other, double fraction, long untilNanos) {
+    List<Lease> held = leases.computeIfAbsent(other, unused -> new ArrayList<>());
+    held.removeIf(old -> old.fraction <= fraction && old.untilNanos - untilNanos <= 0);
+    held.add(new Lease(fraction, untilNanos));
+  }
+
+  /**
+   * Returns the sum over all other VMs.
+   *
+   * @param nanos monotonic time
+   * @return the fraction that counts at this moment
+   */
+  public double totalAt(long nanos) {
+    double total = 0;
+    for (List<Lease> held : leases.values()) {
+      total += largest(held, nanos);
+    }
+    return total;
+  }
+
+  /**
+   * Returns the fraction of one other VM.
+   *
+   * @param other the other VM
+   * @param nanos monotonic time
+   * @return the fraction that counts at this moment
+   */
+  public double at(VmId other, long nanos) {
+    List<Lease> held = leases.get(other);
+    return held == null ? 0 : largest(held, nanos);
+  }
+
+  private static double largest(List<Lease> held, long nanos) {
+    double largest = 0;
+    for (Lease lease : held) {
+      if (lease.untilNanos - nanos > 0) {
+        largest = Math.max(largest, lease.fraction);
+      }
+    }
+    return largest;
+  }
+
+  /**
+   * Returns the deadlines of all leases.
+   *
+   * @return monotonic times in no order
+   */
+  public List<Long> ends() {
+    List<Long> ends = new ArrayList<>();
+    leases.values().forEach(held -> held.forEach(lease -> ends.add(lease.untilNanos)));
+    return ends;
+  }
+
+  /**
+   * Forgets leases that have ended.
+   *
+   * @param nowNanos monotonic time up to which the bucket is settled
+   */
+  public void forgetEnded(long nowNanos) {
+    leases.values().forEach(held -> held.removeIf(lease -> lease.untilNanos - nowNanos <= 0));
+    leases.values().removeIf(List::isEmpty);
+  }
+
+  /** Forgets all leases. */
+  public void clear() {
+    leases.clear();
+  }
+
+  /**
+   * Tells whether any lease is recorded.
+   *
+   * @return whether there is none
+   */
+  public boolean isEmpty() {
+    return leases.isEmpty();
+  }
+
+  private record Lease(double fraction, long untilNanos) {}
+}
--- /dev/null
+++ b/kumquatvane-membership-testing/src/main/java/org/kumquatvane/membership/testing/LogicalFleet.java
@@ -0,0 +1,209 @@
+package org.kumquatvane.membership.testing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.membership.AgreedView;
+import org.kumquatvane.membership.Vm;
+import org.kumquatvane.membership.VmState;
+import org.kumquatvane.testing.LogicalClock;
+import org.kumquatvane.testing.LogicalScheduler;
+
+/**
+ * Fleet of logical VMs with safe views: a view has more than half of the maximum count, is renewed
+ * only while all its members run, and comes into force only after every member's validity of the
+ * previous one has ended.
+ */
+public final class LogicalFleet {
+  private static final Duration TICK = Duration.ofMillis(250);
+  private static final long PROMISE_NANOS = 4_000_000_000L;
+  private static final double LARGEST_DRIFT = 0.0005;
+
+  private final LogicalClock clock;
+  private final LogicalScheduler scheduler;
+  private final UniformRandomProvider random;
+  private final int maximumVmCount;
+  private final Map<VmId, LogicalMembership> vms = new TreeMap<>();
+  private Set<VmId> wanted = Set.of();
+  private Set<VmId> current = Set.of();
+  private long digest;
+  private long lastValidNanos;
+  private int created;
+
+  /**
+   * Creates an empty fleet.
+   *
+   * @param clock true time
+   * @param scheduler runs tasks in true time
+   * @param random seeded source of drift and of times within their bounds
+   * @param maximumVmCount most VMs alive at once
+   */
+  public LogicalFleet(
+      LogicalClock clock,
+      LogicalScheduler scheduler,
+      UniformRandomProvider random,
+      int maximumVmCount) {
+    this.clock = clock;
+    this.scheduler = scheduler;
+    this.random = random;
+    this.maximumVmCount = maximumVmCount;
+    scheduler.schedule(Deadline.after(clock, TICK), this::tick);
+  }
+
+  /**
+   * Starts a VM under a new name, in one of three failure domains, outside any view.
+   *
+   * @return what the VM knows
+   */
+  public LogicalMembership start() {
+    if (alive().size() >= maximumVmCount) {
+      throw new IllegalStateException("more VMs than maximumVmCount: " + maximumVmCount);
+    }
+    int number = created++;
+    Vm vm =
+        new Vm(
+            new VmId("e" + number),
+            new SocketEndpoint("127.0.0.1", 7000 + number),
+            new FailureDomain(String.valueOf((char) ('a' + number % 3))),
+            VmState.LIVE);
+    double drift = (random.nextDouble() * 2 - 1) * LARGEST_DRIFT;
+    VmTime time =
+        new VmTime(
+            clock, scheduler, drift, random.nextLong(1L << 40), random.nextLong(2000) - 1000);
+    LogicalMembership membership = new LogicalMembership(vm, time);
+    vms.put(vm.id(), membership);
+    publishList();
+    return membership;
+  }
+
+  /**
+   * Ends a VM without notice.
+   *
+   * @param vm the VM
+   */
+  public void kill(VmId vm) {
+    LogicalMembership membership = vms.remove(vm);
+    if (membership != null) {
+      membership.time().kill();
+      publishList();
+    }
+  }
+
+  /**
+   * Ends a VM that had announced its stop.
+   *
+   * @param vm the VM
+   */
+  public void depart(VmId vm) {
+    kill(vm);
+    vms.values().forEach(other -> other.time().dispatch(() -> other.departed(vm)));
+  }
+
+  /**
+   * Pauses a VM.
+   *
+   * @param vm the VM
+   */
+  public void pause(VmId vm) {
+    member(vm).time().pause();
+  }
+
+  /**
+   * Continues a paused VM; it runs its late tasks before it notices that it was paused.
+   *
+   * @param vm the VM
+   */
+  public void resume(VmId vm) {
+    LogicalMembership membership = vms.get(vm);
+    if (membership != null && !membership.time().isRunning()) {
+      membership.time().resume();
+      membership.resumed();
+    }
+  }
+
+  /**
+   * Asks for a view; it comes into force when the previous one has ended everywhere.
+   *
+   * @param members its members; no view comes into force with half of the maximum count or fewer
+   */
+  public void wantView(Set<VmId> members) {
+    wanted = new TreeSet<>(members);
+  }
+
+  /**
+   * Returns the running and paused VMs.
+   *
+   * @return their names
+   */
+  public List<VmId> alive() {
+    return new ArrayList<>(vms.keySet());
+  }
+
+  /**
+   * Returns what a VM knows.
+   *
+   * @param vm a VM that is alive
+   * @return its membership
+   */
+  public LogicalMembership member(VmId vm) {
+    LogicalMembership membership = vms.get(vm);
+    if (membership == null) {
+      throw new IllegalArgumentException("not alive: " + vm);
+    }
+    return membership;
+  }
+
+  /**
+   * Returns the members of the view that is renewed.
+   *
+   * @return names, empty without a view
+   */
+  public Set<VmId> current() {
+    return current;
+  }
+
+  private void publishList() {
+    List<Vm> list = vms.values().stream().map(LogicalMembership::self).toList();
+    vms.values().forEach(membership -> membership.list(list));
+  }
+
+  private void tick() {
+    long now = clock.monotonicNanos();
+    if (!wanted.equals(current) && now > lastValidNanos) {
+      boolean valid = wanted.size() * 2 > maximumVmCount && allRun(wanted);
+      current = valid ? wanted : Set.of();
+      digest++;
+    }
+    if (wanted.equals(current) && !current.isEmpty() && allRun(current)) {
+      renew(now);
+    }
+    scheduler.schedule(Deadline.after(clock, TICK), this::tick);
+  }
+
+  private boolean allRun(Set<VmId> members) {
+    return members.stream().allMatch(id -> vms.containsKey(id) && member(id).time().isRunning());
+  }
+
+  private void renew(long now) {
+    List<Vm> members = current.stream().map(id -> member(id).self()).toList();
+    for (VmId id : current) {
+      long end = now + PROMISE_NANOS / 2 + random.nextLong(PROMISE_NANOS / 2);
+      lastValidNanos = Math.max(lastValidNanos, end);
+      LogicalMembership membership = member(id);
+      long delay = random.nextLong(TICK.toNanos() / 2);
+      Deadline until = new Deadline(membership.time().localNanos(end));
+      AgreedView view = new AgreedView(digest, members, until);
+      scheduler.schedule(
+          new Deadline(now + delay), () -> membership.time().dispatch(() -> membership.hold(view)));
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-membership-testing/src/main/java/org/kumquatvane/membership/testing/LogicalMembership.java
@@ -0,0 +1,86 @@
+package org.kumquatvane.membership.testing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.membership.AgreedView;
+import org.kumquatvane.membership.FleetMembership;
+import org.kumquatvane.membership.MembershipListener;
+import org.kumquatvane.membership.Vm;
+
+/** What one logical VM knows of the fleet; {@link LogicalFleet} sets it. */
+public final class LogicalMembership implements FleetMembership {
+  private final Vm self;
+  private final VmTime time;
+  private final List<MembershipListener> listeners = new ArrayList<>();
+  private List<Vm> listed = List.of();
+  private @Nullable AgreedView view;
+
+  LogicalMembership(Vm self, VmTime time) {
+    this.self = self;
+    this.time = time;
+  }
+
+  /**
+   * Returns clock and scheduler of this VM.
+   *
+   * @return its time
+   */
+  public VmTime time() {
+    return time;
+  }
+
+  @Override
+  public Vm self() {
+    return self;
+  }
+
+  @Override
+  public Optional<AgreedView> agreedView() {
+    return Optional.ofNullable(view).filter(held -> !held.validUntil().isReached(time));
+  }
+
+  @Override
+  public List<Vm> listedVms() {
+    return listed;
+  }
+
+  @Override
+  public void addListener(MembershipListener listener) {
+    listeners.add(listener);
+  }
+
+  void list(List<Vm> vms) {
+    listed = List.copyOf(vms);
+  }
+
+  void departed(VmId vm) {
+    listeners.forEach(listener -> listener.vmDeparted(vm));
+  }
+
+  /** Tells listeners late, as a process does that notices its own pause. */
+  void resumed() {
+    listeners.forEach(MembershipListener::resumedAfterPause);
+    expire();
+  }
+
+  void hold(AgreedView next) {
+    expire();
+    AgreedView previous = view;
+    view = next;
+    if (previous == null || previous.digest() != next.digest()) {
+      listeners.forEach(listener -> listener.viewAgreed(next));
+    }
+    time.schedule(new Deadline(next.validUntil().nanos()), this::expire);
+  }
+
+  private void expire() {
+    if (view != null && view.validUntil().isReached(time)) {
+      view = null;
+      listeners.forEach(MembershipListener::viewLost);
+    }
+  }
+}
