Block requests that end the instances that run them

Cause: CrashGuard had no implementation, so that one request could end an instance after another. Change: SharedCrashGuard counts distinct instances lost by a fingerprint over all VMs (CrashReport), blocks at two until a deadline, clears a fingerprint that is answered, and blocks nothing while more instances vanish than the fingerprint explains.

--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/CrashGuard.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/CrashGuard.java
@@ -19,4 +19,12 @@
    * @param instance the instance
    */
   void instanceLost(RequestFingerprint fingerprint, InstanceId instance);
+
+  /**
+   * Takes note of an answer, which shows that the request does not end instances.
+   *
+   * @param fingerprint the request
+   * @param instance the instance that answered
+   */
+  default void answered(RequestFingerprint fingerprint, InstanceId instance) {}
 }
--- /dev/null
+++ b/kumquatvane-ejection/src/test/java/org/kumquatvane/ejection/SharedCrashGuardTest.java
@@ -0,0 +1,138 @@
+package org.kumquatvane.ejection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.testing.DiscardingEventLog;
+import org.kumquatvane.testing.LogicalClock;
+import org.kumquatvane.testing.LogicalNetwork;
+import org.kumquatvane.testing.LogicalScheduler;
+import org.kumquatvane.testing.RecordingCounters;
+
+/** Guards against a request that ends one server after another, and against wrong suspicion. */
+class SharedCrashGuardTest {
+  private static final int VMS = 4;
+  private static final RequestFingerprint POISON = new RequestFingerprint("poison");
+  private static final RequestFingerprint INNOCENT = new RequestFingerprint("innocent");
+
+  private final LogicalClock clock = new LogicalClock();
+  private final LogicalScheduler scheduler = new LogicalScheduler(clock);
+  private final LogicalNetwork network =
+      new LogicalNetwork(clock, scheduler, RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+  private final List<SharedCrashGuard> guards = new ArrayList<>();
+
+  @BeforeEach
+  void connect() {
+    List<VmId> ids = IntStream.range(0, VMS).mapToObj(vm -> new VmId("e" + vm)).toList();
+    for (VmId id : ids) {
+      SharedCrashGuard guard =
+          new SharedCrashGuard(
+              clock,
+              () -> ids.stream().filter(other -> !other.equals(id)).toList(),
+              network.sender(id),
+              new RecordingCounters(),
+              new DiscardingEventLog());
+      network.connect(id, (sender, message) -> guard.handle(sender, (CrashReport) message));
+      guards.add(guard);
+    }
+  }
+
+  private void lose(int vm, RequestFingerprint fingerprint, int instance) {
+    guards.get(vm).instanceLost(fingerprint, new InstanceId("r" + instance));
+    scheduler.advance(Duration.ofSeconds(1));
+  }
+
+  private long blockedOn(RequestFingerprint fingerprint) {
+    return guards.stream().filter(guard -> guard.isBlocked(fingerprint)).count();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void blocksOnEveryVmAfterTwoInstancesUntilItsDeadline(int secondVm) {
+    lose(0, POISON, 1);
+    assertEquals(0, blockedOn(POISON));
+    lose(secondVm, POISON, 2);
+    assertEquals(VMS, blockedOn(POISON));
+    scheduler.advance(Duration.ofMinutes(11));
+    assertEquals(0, blockedOn(POISON));
+  }
+
+  @Test
+  void sameInstanceCountsOnce() {
+    lose(0, POISON, 1);
+    lose(1, POISON, 1);
+    assertEquals(0, blockedOn(POISON));
+  }
+
+  @Test
+  void answerInBetweenClearsTheSuspicionOnEveryVm() {
+    lose(0, INNOCENT, 1);
+    guards.get(1).answered(INNOCENT, new InstanceId("r3"));
+    scheduler.advance(Duration.ofSeconds(1));
+    lose(2, INNOCENT, 2);
+    assertEquals(0, blockedOn(INNOCENT));
+  }
+
+  @Test
+  void lossesFarApartDoNotCountTogether() {
+    lose(0, INNOCENT, 1);
+    scheduler.advance(Duration.ofMinutes(3));
+    lose(0, INNOCENT, 2);
+    assertEquals(0, blockedOn(INNOCENT));
+  }
+
+  @Test
+  void lossOfRackBlocksNoRequest() {
+    for (int instance = 0; instance < 6; instance++) {
+      guards
+          .get(instance % VMS)
+          .instanceLost(new RequestFingerprint("other" + instance), new InstanceId("r" + instance));
+    }
+    scheduler.advance(Duration.ofMillis(10));
+    lose(0, INNOCENT, 0);
+    lose(0, INNOCENT, 1);
+    assertEquals(0, blockedOn(INNOCENT));
+  }
+
+  @Test
+  void twoCrashingRequestsAtOnceAreBothBlocked() {
+    RequestFingerprint second = new RequestFingerprint("second");
+    lose(0, POISON, 1);
+    lose(1, second, 2);
+    lose(0, POISON, 3);
+    lose(1, second, 4);
+    assertEquals(VMS, blockedOn(POISON));
+    assertEquals(VMS, blockedOn(second));
+  }
+
+  @Test
+  void tableIsBounded() {
+    for (int i = 0; i < 3_000; i++) {
+      guards
+          .get(0)
+          .handle(
+              new VmId("e1"),
+              new CrashReport(
+                  new RequestFingerprint("f" + i),
+                  new InstanceId("r1"),
+                  CrashReport.Outcome.INSTANCE_LOST));
+    }
+    // The first fingerprint has been forgotten, the last one not.
+    guards.get(0).instanceLost(new RequestFingerprint("f0"), new InstanceId("r2"));
+    guards.get(0).instanceLost(new RequestFingerprint("f2999"), new InstanceId("r2"));
+    assertFalse(guards.get(0).isBlocked(new RequestFingerprint("f0")));
+    assertTrue(guards.get(0).isBlocked(new RequestFingerprint("f2999")));
+  }
+}
