Join peers, membership, shares, ejection and the crash guard in the process

Cause: the thin path ran with single-VM stand-ins for these parts. Change: FleetParts and DecisionParts compose the merged modules.

--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -3,25 +3,23 @@
 import java.io.IOException;
 import java.security.GeneralSecurityException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 import org.kumquatvane.admin.AdminRoute;
 import org.kumquatvane.admin.AdminServer;
 import org.kumquatvane.admin.AdminSettings;
 import org.kumquatvane.admin.ConfigurationReport;
 import org.kumquatvane.admin.InstancesReport;
+import org.kumquatvane.admin.PeersReport;
 import org.kumquatvane.admin.WorkReport;
-import org.kumquatvane.admission.FairAdmissionQueue;
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LogField;
 import org.kumquatvane.document.ConfigurationTable;
-import org.kumquatvane.document.SelectionMode;
-import org.kumquatvane.ejection.NoEjection;
-import org.kumquatvane.engine.EngineDependencies;
-import org.kumquatvane.engine.RequestEngine;
+import org.kumquatvane.document.Document;
+import org.kumquatvane.document.DocumentListener;
 import org.kumquatvane.http.BackendConnections;
 import org.kumquatvane.http.BodyLimits;
 import org.kumquatvane.http.CallerProtocol;
@@ -29,23 +27,23 @@
 import org.kumquatvane.http.CallerServerDependencies;
 import org.kumquatvane.http.CallerServerSettings;
 import org.kumquatvane.http.TlsFiles;
-import org.kumquatvane.keys.CompactKeyTable;
-import org.kumquatvane.limits.StaticDivisionLimiter;
+import org.kumquatvane.membership.ConfigurationMark;
 import org.kumquatvane.platform.PlatformClient;
-import org.kumquatvane.routing.DocumentRouteTable;
-import org.kumquatvane.selection.RoundRobinSelection;
-import org.kumquatvane.selection.SelectionPolicy;
-import org.kumquatvane.selection.TrackedInstancePool;
-import org.kumquatvane.selection.TwoChoicesSelection;
+import org.kumquatvane.server.internal.DecisionParts;
 import org.kumquatvane.server.internal.DirectPlatformReader;
+import org.kumquatvane.server.internal.FleetParts;
 import org.kumquatvane.server.internal.InstanceFeed;
 import org.kumquatvane.server.internal.ProcessRuntime;
 import org.kumquatvane.server.internal.ReadinessState;
-import org.kumquatvane.server.internal.RetryPolicies;
+import org.kumquatvane.server.internal.SecretReader;
+import org.kumquatvane.settings.Secret;
 import org.kumquatvane.settings.Settings;
 
 /** One running proxy process. */
 public final class ProxyServer {
+  /** Time for which the announcement of the departure is repeated, in case a message is lost. */
+  private static final Duration DEPARTURE_TIME = Duration.ofMillis(1_500);
+
   private final Settings settings;
   private final ProcessRuntime runtime;
   private final AtomicBoolean draining = new AtomicBoolean();
@@ -53,44 +51,19 @@
   private final AdminServer admin;
   private final BackendConnections connections;
   private final PlatformClient platform;
+  private final FleetParts fleet;
+  private final DecisionParts decisions;
+  private final ConfigurationTable configuration;
 
   private ProxyServer(Settings settings, EventLog eventLog, Runnable onDrainRequest)
       throws IOException, GeneralSecurityException {
     this.settings = settings;
     runtime = new ProcessRuntime(settings, eventLog);
-    UniformRandomProvider random =
-        RandomSource.XO_RO_SHI_RO_128_PP.create(RandomSource.createLong());
-    CompactKeyTable keys = new CompactKeyTable();
-    DocumentRouteTable routes = new DocumentRouteTable();
-    StaticDivisionLimiter limiter = new StaticDivisionLimiter(runtime.clock());
-    FairAdmissionQueue queue = new FairAdmissionQueue(runtime.clock());
-    NoEjection health = new NoEjection();
-    TrackedInstancePool instances =
-        new TrackedInstancePool(
-            runtime.clock(), health, mode -> selection(mode, random), runtime.monitor());
-    RequestEngine engine =
-        new RequestEngine(
-            new EngineDependencies(
-                runtime.clock(),
-                runtime.workers(),
-                runtime.scheduler(),
-                keys,
-                routes,
-                limiter,
-                new org.kumquatvane.server.internal.TemporaryLedger(),
-                queue,
-                instances,
-                health,
-                new org.kumquatvane.server.internal.TemporaryCrashGuard(),
-                RetryPolicies.create(runtime.clock(), random, runtime.counters()),
-                service -> Math.max(1, service.capacity().maximumConnections() / 40),
-                runtime.counters(),
-                runtime.eventLog(),
-                runtime.monitor()),
-            settings.requests().maximumInFlight());
-    ConfigurationTable configuration =
-        new ConfigurationTable(
-            List.of(keys, routes, limiter, queue, instances, engine), runtime.monitor());
+    fleet = new FleetParts(settings, runtime, this::configurationMark);
+    decisions = new DecisionParts(settings, runtime, fleet);
+    List<DocumentListener> listeners = new ArrayList<>(decisions.documentListeners());
+    listeners.add(fleet);
+    configuration = new ConfigurationTable(listeners, runtime.monitor());
     connections = new BackendConnections(runtime.clock());
     platform = new PlatformClient(settings.platform().endpoint());
     DirectPlatformReader reader =
@@ -98,7 +71,10 @@
             platform,
             settings.platform().documentName(),
             configuration,
-            List.of(new InstanceFeed(instances, connections, engine)),
+            List.of(
+                fleet,
+                decisions.health(),
+                new InstanceFeed(decisions.instances(), connections, decisions.engine())),
             runtime.workers(),
             runtime.scheduler(),
             runtime.clock(),
@@ -107,24 +83,13 @@
     readiness.require("no_configuration", () -> configuration.current().isPresent());
     readiness.require("no_vm_list", reader::hasList);
     readiness.require("draining", () -> !draining.get());
-    admin =
-        new AdminServer(
-            new AdminSettings(settings.adminListener().endpoint(), java.util.Optional.empty()),
-            List.of(
-                new AdminRoute("/v1/configuration", new ConfigurationReport(configuration)),
-                new AdminRoute("/v1/instances", new InstancesReport(instances)),
-                new AdminRoute(
-                    "/v1/work", new WorkReport(engine::inFlight, runtime.workers()::queued))),
-            readiness,
-            runtime.metrics(),
-            onDrainRequest,
-            runtime.workers());
+    admin = createAdmin(readiness, onDrainRequest);
     admin.start();
     callers =
         CallerServer.start(
             callerSettings(settings),
             new CallerServerDependencies(
-                engine,
+                decisions.engine(),
                 runtime.workers(),
                 connections,
                 runtime.clock(),
@@ -132,9 +97,39 @@
                 runtime.eventLog(),
                 runtime.monitor(),
                 draining::get));
+    fleet.start();
+    decisions.start();
     reader.start();
   }
 
+  private ConfigurationMark configurationMark() {
+    return configuration
+        .current()
+        .map(Document::generation)
+        .map(generation -> new ConfigurationMark(generation, decisions.keys().pendingWithdrawals()))
+        .orElse(ConfigurationMark.NONE);
+  }
+
+  private AdminServer createAdmin(ReadinessState readiness, Runnable onDrainRequest)
+      throws IOException {
+    Optional<Secret> secret = settings.adminListener().token();
+    Optional<String> token =
+        secret.isPresent() ? Optional.of(SecretReader.read(secret.get())) : Optional.empty();
+    return new AdminServer(
+        new AdminSettings(settings.adminListener().endpoint(), token),
+        List.of(
+            new AdminRoute("/v1/configuration", new ConfigurationReport(configuration)),
+            new AdminRoute("/v1/instances", new InstancesReport(decisions.instances())),
+            new AdminRoute("/v1/peers", new PeersReport(fleet.membership())),
+            new AdminRoute(
+                "/v1/work",
+                new WorkReport(decisions.engine()::inFlight, runtime.workers()::queued))),
+        readiness,
+        runtime.metrics(),
+        onDrainRequest,
+        runtime.workers());
+  }
+
   /**
    * Starts a process.
    *
@@ -151,13 +146,6 @@
     }
   }
 
-  private static SelectionPolicy selection(SelectionMode mode, UniformRandomProvider random) {
-    return switch (mode) {
-      case ROUND_ROBIN -> new RoundRobinSelection();
-      case TWO_CHOICES -> new TwoChoicesSelection(random);
-    };
-  }
-
   private static CallerServerSettings callerSettings(Settings settings) {
     return new CallerServerSettings(
         settings.callerListener().endpoint(),
@@ -187,7 +175,11 @@
     runtime
         .eventLog()
         .record(EventLog.Level.INFO, "drain_ended", LogField.of("complete", complete));
+    fleet.membership().depart();
+    decisions.close();
+    pause(DEPARTURE_TIME);
     admin.close();
+    fleet.close();
     connections.close();
     platform.close();
     runtime.close();
--- /dev/null
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/DecisionParts.java
@@ -0,0 +1,163 @@
+package org.kumquatvane.server.internal;
+
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.kumquatvane.admission.FairAdmissionQueue;
+import org.kumquatvane.document.DocumentListener;
+import org.kumquatvane.document.SelectionMode;
+import org.kumquatvane.ejection.CrashReport;
+import org.kumquatvane.ejection.InstanceEvidence;
+import org.kumquatvane.ejection.PeerComparisonHealth;
+import org.kumquatvane.ejection.SharedCrashGuard;
+import org.kumquatvane.engine.EngineDependencies;
+import org.kumquatvane.engine.RequestEngine;
+import org.kumquatvane.keys.CompactKeyTable;
+import org.kumquatvane.limits.DocumentRateLimiter;
+import org.kumquatvane.limits.LeaseSettings;
+import org.kumquatvane.limits.LeasedShareLimiter;
+import org.kumquatvane.limits.StaticDivisionLimiter;
+import org.kumquatvane.routing.DocumentRouteTable;
+import org.kumquatvane.selection.RoundRobinSelection;
+import org.kumquatvane.selection.SelectionPolicy;
+import org.kumquatvane.selection.TrackedInstancePool;
+import org.kumquatvane.selection.TwoChoicesSelection;
+import org.kumquatvane.settings.Settings;
+
+/** The decision tables of a process, joined by the engine. */
+public final class DecisionParts implements AutoCloseable {
+  private final CompactKeyTable keys = new CompactKeyTable();
+  private final DocumentRouteTable routes = new DocumentRouteTable();
+  private final LeasedShareLimiter shares;
+  private final DocumentRateLimiter limiter;
+  private final FairAdmissionQueue queue;
+  private final PeerComparisonHealth health;
+  private final TrackedInstancePool instances;
+  private final RequestEngine engine;
+
+  /**
+   * Creates the tables and registers their peer messages.
+   *
+   * @param settings settings of the VM
+   * @param runtime threads, time and telemetry
+   * @param fleet the other VMs
+   */
+  public DecisionParts(Settings settings, ProcessRuntime runtime, FleetParts fleet) {
+    UniformRandomProvider random =
+        RandomSource.XO_RO_SHI_RO_128_PP.create(RandomSource.createLong());
+    LeaseSettings leases = LeaseSettings.defaults();
+    shares =
+        new LeasedShareLimiter(
+            runtime.clock(),
+            runtime.scheduler(),
+            fleet.network(),
+            fleet.membership(),
+            runtime.monitor(),
+            leases);
+    shares.register(fleet.dispatcher());
+    limiter =
+        new DocumentRateLimiter(
+            runtime.clock(), new StaticDivisionLimiter(runtime.clock()), shares, leases);
+    queue = new FairAdmissionQueue(runtime.clock());
+    health =
+        new PeerComparisonHealth(
+            settings.vmId(),
+            runtime.clock(),
+            runtime.scheduler(),
+            fleet::peers,
+            fleet.network(),
+            runtime.counters(),
+            runtime.eventLog(),
+            runtime.monitor());
+    SharedCrashGuard crashGuard =
+        new SharedCrashGuard(
+            runtime.clock(), fleet::peers, fleet.network(), runtime.counters(), runtime.eventLog());
+    fleet.dispatcher().register(InstanceEvidence.class, health);
+    fleet.dispatcher().register(CrashReport.class, crashGuard);
+    instances =
+        new TrackedInstancePool(
+            runtime.clock(), health, mode -> selection(mode, random), runtime.monitor());
+    engine =
+        new RequestEngine(
+            new EngineDependencies(
+                runtime.clock(),
+                runtime.workers(),
+                runtime.scheduler(),
+                keys,
+                routes,
+                limiter,
+                new TemporaryLedger(),
+                queue,
+                instances,
+                health,
+                crashGuard,
+                RetryPolicies.create(runtime.clock(), random, runtime.counters()),
+                service -> Math.max(1, service.capacity().maximumConnections() / 40),
+                runtime.counters(),
+                runtime.eventLog(),
+                runtime.monitor()),
+            settings.requests().maximumInFlight());
+  }
+
+  private static SelectionPolicy selection(SelectionMode mode, UniformRandomProvider random) {
+    return switch (mode) {
+      case ROUND_ROBIN -> new RoundRobinSelection();
+      case TWO_CHOICES -> new TwoChoicesSelection(random);
+    };
+  }
+
+  /**
+   * Returns everything that follows the document, in the order in which it is told.
+   *
+   * @return the listeners
+   */
+  public List<DocumentListener> documentListeners() {
+    return List.of(keys, routes, limiter, queue, health, instances, engine);
+  }
+
+  /** Starts the periodic work. */
+  public void start() {
+    health.start();
+  }
+
+  /**
+   * Returns the engine.
+   *
+   * @return decides about requests
+   */
+  public RequestEngine engine() {
+    return engine;
+  }
+
+  /**
+   * Returns the instance pool.
+   *
+   * @return instances and their slots
+   */
+  public TrackedInstancePool instances() {
+    return instances;
+  }
+
+  /**
+   * Returns the judge of instances.
+   *
+   * @return evidence and ejections
+   */
+  public PeerComparisonHealth health() {
+    return health;
+  }
+
+  /**
+   * Returns the key table.
+   *
+   * @return keys and withdrawals
+   */
+  public CompactKeyTable keys() {
+    return keys;
+  }
+
+  @Override
+  public void close() {
+    shares.close();
+  }
+}
