--- /dev/null
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
@@ -0,0 +1,264 @@
+package org.kumquatvane.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.ExecutionStatus;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.limits.LimitDecision;
+import org.kumquatvane.operations.BeginVerdict;
+import org.kumquatvane.operations.OperationResult;
+import org.kumquatvane.operations.RecordedAnswer;
+
+class RequestEngineTest {
+  private final EngineFixture fixture = new EngineFixture();
+  private final ScriptedExchange exchange = new ScriptedExchange();
+
+  private void elapse(Duration duration) {
+    fixture.scheduler.advance(duration);
+  }
+
+  private Refusal refusal() {
+    return exchange.refusal().orElseThrow();
+  }
+
+  /** Guards against sending a non-idempotent request again that may have run. */
+  @ParameterizedTest
+  @EnumSource(AttemptFailure.class)
+  void repeatsNonIdempotentRequestOnlyIfKnownNotToHaveRun(AttemptFailure failure) {
+    if (failure == AttemptFailure.SERVER_ERROR) {
+      exchange.thenAnswer(500);
+    } else {
+      exchange.thenFail(failure, false);
+    }
+    exchange.thenAnswer(200);
+
+    fixture.run(fixture.request("POST", "/rota/reports", Optional.empty()), exchange);
+    elapse(Duration.ofMillis(100));
+
+    assertEquals(failure.isKnownNotRun() ? 2 : 1, exchange.attempts().size());
+  }
+
+  /** Guards against a refusal that says "not run" although a backend server may have run it. */
+  @ParameterizedTest
+  @EnumSource(value = AttemptFailure.class, mode = EnumSource.Mode.EXCLUDE, names = "SERVER_ERROR")
+  void statesNotRunOnlyIfNoAttemptMayHaveRun(AttemptFailure failure) {
+    exchange.thenFail(failure, false).thenFail(AttemptFailure.CONNECT_FAILED, false);
+    exchange.thenFail(AttemptFailure.CONNECT_FAILED, false);
+
+    fixture.lookUp(exchange);
+    elapse(Duration.ofMillis(500));
+
+    assertEquals(3, exchange.attempts().size());
+    assertEquals(
+        failure.isKnownNotRun() ? ExecutionStatus.NOT_RUN : ExecutionStatus.MAY_HAVE_RUN,
+        refusal().execution());
+  }
+
+  /** Guards against a retry that goes back to the instance that just failed. */
+  @Test
+  void retriesOnAnotherInstance() {
+    exchange.thenFail(AttemptFailure.CONNECTION_LOST, false).thenAnswer(200);
+
+    fixture.lookUp(exchange);
+    elapse(Duration.ofMillis(100));
+
+    assertEquals(200, exchange.deliveredStatus());
+    assertNotEquals(
+        exchange.attempts().get(0).plan().instance().id(),
+        exchange.attempts().get(1).plan().instance().id());
+    assertEquals(1, fixture.counters.value(Reason.RETRY_CONNECTION_LOST.counterName()));
+  }
+
+  /** Guards against verdicts of the ledger that lead to a second run or a wrong statement. */
+  @Test
+  void answersOperationsByTheirVerdict() {
+    record Expectation(BeginVerdict verdict, Reason reason) {}
+    List<Expectation> expectations =
+        List.of(
+            new Expectation(new BeginVerdict.AnswerNotKept(), Reason.ANSWER_NOT_KEPT),
+            new Expectation(new BeginVerdict.KeyReused(), Reason.IDEMPOTENCY_KEY_REUSED),
+            new Expectation(new BeginVerdict.KeyMalformed(), Reason.IDEMPOTENCY_KEY_MALFORMED),
+            new Expectation(new BeginVerdict.Unknown(), Reason.OUTCOME_UNKNOWN));
+    for (Expectation expectation : expectations) {
+      ScriptedExchange refused = new ScriptedExchange();
+      fixture.beginVerdict = expectation.verdict();
+      fixture.book(refused);
+
+      assertEquals(expectation.reason(), refused.refusal().orElseThrow().reason());
+      assertEquals(expectation.reason().execution(), refused.refusal().orElseThrow().execution());
+      assertTrue(refused.attempts().isEmpty());
+    }
+  }
+
+  /** Guards against running an operation again whose answer is recorded. */
+  @Test
+  void replaysRecordedAnswer() {
+    RecordedAnswer recorded = new RecordedAnswer(201, List.of(), new byte[] {1});
+    fixture.beginVerdict = new BeginVerdict.Replay(recorded);
+
+    fixture.book(exchange);
+
+    assertEquals(recorded, exchange.replayed().orElseThrow());
+    assertTrue(exchange.attempts().isEmpty());
+  }
+
+  /** Guards against records that stay open or claim the wrong end of an operation. */
+  @ParameterizedTest
+  @CsvSource({
+    "CONNECT_FAILED, NotRun",
+    "SHED, NotRun",
+    "CONNECTION_LOST, Unknown",
+    "ANSWER_CROSSED, Unknown"
+  })
+  void finishesRecordByWhatIsKnown(AttemptFailure failure, String expected) {
+    for (int attempt = 0; attempt < 3; attempt++) {
+      exchange.thenFail(failure, false);
+    }
+
+    fixture.book(exchange);
+    elapse(Duration.ofSeconds(1));
+
+    assertEquals(1, fixture.finished.size());
+    assertEquals(expected, fixture.finished.get(0).getClass().getSimpleName());
+  }
+
+  /** Guards against losing the answer of an operation whose caller has left. */
+  @Test
+  void finishesOperationAfterItsCallerLeft() {
+    RunningRequest running = fixture.book(exchange);
+    running.callerLeft();
+    assertFalse(exchange.attempts().get(0).isCancelled());
+
+    exchange.attempts().get(0).answer(new AnswerHead(201, false, false));
+
+    assertInstanceOf(OperationResult.Finished.class, fixture.finished.get(0));
+    assertEquals(0, fixture.engine.inFlight());
+  }
+
+  /** Guards against slots that stay in use for callers that have left. */
+  @Test
+  void freesSlotWhenCallerOfIdempotentRequestLeaves() {
+    RunningRequest running = fixture.lookUp(exchange);
+    running.callerLeft();
+
+    assertTrue(exchange.attempts().get(0).isCancelled());
+    assertEquals(0, fixture.engine.inFlight());
+    assertTrue(fixture.instances.status().stream().allMatch(status -> status.slotsInUse() == 0));
+  }
+
+  /** Guards against requests that wait longer than their caller does. */
+  @Test
+  void refusesQueuedRequestAtItsDeadline() {
+    fixture.lookUp(new ScriptedExchange());
+    fixture.lookUp(new ScriptedExchange());
+    fixture.lookUp(exchange);
+    assertTrue(exchange.attempts().isEmpty());
+
+    elapse(EngineFixture.TIMEOUT);
+
+    assertEquals(ExecutionStatus.NOT_RUN, refusal().execution());
+    assertEquals(Reason.DEADLINE_PASSED_WAITING, refusal().reason());
+    assertEquals(0, fixture.engine.inFlight());
+  }
+
+  /** Guards against a queue that grows without bound. */
+  @Test
+  void refusesWhenQueueIsFull() {
+    for (int request = 0; request < 4; request++) {
+      fixture.lookUp(new ScriptedExchange());
+    }
+
+    fixture.lookUp(exchange);
+
+    assertEquals(Reason.QUEUE_FULL, refusal().reason());
+  }
+
+  /** Guards against a hanging backend server that keeps its caller waiting. */
+  @Test
+  void endsAttemptAtTheDeadline() {
+    fixture.lookUp(exchange);
+    elapse(EngineFixture.TIMEOUT.plusMillis(1));
+
+    assertTrue(exchange.attempts().get(0).isCancelled());
+    assertEquals(ExecutionStatus.MAY_HAVE_RUN, refusal().execution());
+    assertTrue(fixture.instances.status().stream().allMatch(status -> status.slotsInUse() == 0));
+  }
+
+  /** Guards against a withdrawn key that still admits a request whose body was being read. */
+  @Test
+  void refusesKeyWithdrawnWhileBodyWasRead() {
+    CallerRequest request = fixture.request("GET", "/rota/1", Optional.empty());
+    Authorization.Granted granted = (Authorization.Granted) fixture.engine.authorize(request);
+    fixture.grantedKeys.clear();
+
+    fixture.engine.run(granted.request(), new BodyDescription(true, ""), exchange);
+
+    assertEquals(Reason.KEY_NOT_ACCEPTED, refusal().reason());
+    assertTrue(exchange.attempts().isEmpty());
+  }
+
+  /** Guards against wrong refusals before any work is done. */
+  @ParameterizedTest
+  @CsvSource({
+    "GET, /nothing, ROUTE_NOT_FOUND",
+    "DELETE, /rota/1, METHOD_NOT_ALLOWED",
+    "GET, /private, ROUTE_FORBIDDEN",
+    "POST, /rota/bookings, IDEMPOTENCY_KEY_MISSING"
+  })
+  void deniesBeforeTheBodyIsRead(String method, String path, Reason reason) {
+    Authorization denied =
+        fixture.engine.authorize(fixture.request(method, path, Optional.empty()));
+
+    assertEquals(reason, assertInstanceOf(Authorization.Denied.class, denied).refusal().reason());
+  }
+
+  /** Guards against requests that run although the limit refused them. */
+  @Test
+  void refusesOverTheRate() {
+    fixture.limitDecision = new LimitDecision.RateLimited(Duration.ofSeconds(3));
+
+    fixture.lookUp(exchange);
+
+    assertEquals(Reason.RATE_LIMITED, refusal().reason());
+    assertEquals(Duration.ofSeconds(3), refusal().retryAfter().orElseThrow());
+    assertTrue(exchange.attempts().isEmpty());
+  }
+
+  /** Guards against a request that ends one instance after the other. */
+  @Test
+  void reportsLostInstanceAndStopsRetryingWhenBlocked() {
+    fixture.lookUp(exchange.thenFail(AttemptFailure.CONNECTION_LOST, true));
+    assertEquals(1, fixture.lostInstances.size());
+
+    fixture.crashBlocked = true;
+    ScriptedExchange repeat = new ScriptedExchange();
+    fixture.lookUp(repeat);
+
+    assertEquals(Reason.REQUEST_CRASHES_SERVERS, repeat.refusal().orElseThrow().reason());
+  }
+
+  /** Guards against new requests on an instance that announced its end in a header. */
+  @Test
+  void avoidsInstanceThatSaysItDrains() {
+    fixture.lookUp(exchange.thenAnswer(new AnswerHead(200, false, true)));
+    String draining = exchange.attempts().get(0).plan().instance().id().value();
+
+    for (int request = 0; request < 4; request++) {
+      ScriptedExchange next = new ScriptedExchange().thenAnswer(200);
+      fixture.lookUp(next);
+      assertNotEquals(draining, next.attempts().get(0).plan().instance().id().value());
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.engine;
+
+import org.jspecify.annotations.NullMarked;
