--- /dev/null
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/Main.java
@@ -0,0 +1,38 @@
+package org.kumquatvane.cli;
+
+import java.security.SecureRandom;
+import java.util.List;
+import org.kumquatvane.cli.check.CheckCommand;
+import org.kumquatvane.cli.digest.DigestCommand;
+import org.kumquatvane.cli.key.KeyCommand;
+import org.kumquatvane.cli.trial.TrialCommand;
+
+/** Entry point of the binary. */
+public final class Main {
+  private Main() {}
+
+  /**
+   * Runs the command that the arguments name and ends the process with its exit code.
+   *
+   * @param arguments arguments of the process
+   */
+  public static void main(String[] arguments) {
+    ExitCode code =
+        new CommandLine(commands()).run(List.of(arguments), new Console(System.out, System.err));
+    System.out.flush();
+    System.exit(code.code());
+  }
+
+  /**
+   * Returns new instances of all commands, in the order of the help text.
+   *
+   * @return the commands
+   */
+  static List<Command> commands() {
+    return List.of(
+        new CheckCommand(),
+        new DigestCommand(),
+        new TrialCommand(),
+        new KeyCommand(new SecureRandom()));
+  }
+}
--- /dev/null
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/check/package-info.java
@@ -0,0 +1,5 @@
+/** The check command. */
+@NullMarked
+package org.kumquatvane.cli.check;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/trial/Decision.java
@@ -0,0 +1,38 @@
+package org.kumquatvane.cli.trial;
+
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.document.Route;
+
+/** What a document decides about a request, before any limit or instance is involved. */
+sealed interface Decision {
+  /**
+   * The request is passed on.
+   *
+   * @param route the route with its rules
+   */
+  record Routed(Route route) implements Decision {
+    @Override
+    public String toString() {
+      return "route "
+          + route.id()
+          + ", service "
+          + route.service()
+          + ", timeoutMillis "
+          + route.timeout().toMillis()
+          + ", idempotent "
+          + route.idempotent();
+    }
+  }
+
+  /**
+   * The request is refused.
+   *
+   * @param reason why
+   */
+  record Refused(Reason reason) implements Decision {
+    @Override
+    public String toString() {
+      return "refused " + reason.code();
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/trial/package-info.java
@@ -0,0 +1,5 @@
+/** The trial command. */
+@NullMarked
+package org.kumquatvane.cli.trial;
+
+import org.jspecify.annotations.NullMarked;
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/EnumNames.java
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/EnumNames.java
@@ -1,8 +1,8 @@
-package org.kumquatvane.json;
+package org.kumquatvane.core;
 
 import java.util.Locale;
 
-/** Written form of enumeration constants. */
+/** Written form of enumeration constants in documents, settings and reports. */
 public final class EnumNames {
   private EnumNames() {}
 
--- a/kumquatvane-documents/src/main/java/org/kumquatvane/documents/DocumentParser.java
+++ b/kumquatvane-documents/src/main/java/org/kumquatvane/documents/DocumentParser.java
@@ -81,6 +81,16 @@
         .orElse(List.of());
   }
 
+  /**
+   * Digests the main bytes of a document or the bytes of a fragment.
+   *
+   * @param bytes the bytes
+   * @return SHA-256 in lower-case hexadecimal
+   */
+  public static String digest(byte[] bytes) {
+    return Sha256.hex(bytes);
+  }
+
   private static FleetPolicy readFleet(ObjectReader main) {
     return main.requiredObject("fleet")
         .map(
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/ObjectReader.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/ObjectReader.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Pattern;
+import org.kumquatvane.core.EnumNames;
 import org.kumquatvane.json.JsonValue.JsonArray;
 import org.kumquatvane.json.JsonValue.JsonBoolean;
 import org.kumquatvane.json.JsonValue.JsonNumber;
