--- a/kumquatvane-cli/src/main/java/org/kumquatvane/cli/Main.java
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/Main.java
@@ -4,7 +4,11 @@
 import java.util.List;
 import org.kumquatvane.cli.check.CheckCommand;
 import org.kumquatvane.cli.digest.DigestCommand;
+import org.kumquatvane.cli.drain.DrainCommand;
 import org.kumquatvane.cli.key.KeyCommand;
+import org.kumquatvane.cli.serve.ServeCommand;
+import org.kumquatvane.cli.serve.SignalStopRequests;
+import org.kumquatvane.cli.status.StatusCommand;
 import org.kumquatvane.cli.trial.TrialCommand;
 
 /** Entry point of the binary. */
@@ -30,9 +34,12 @@
    */
   static List<Command> commands() {
     return List.of(
+        new ServeCommand(SignalStopRequests::new),
         new CheckCommand(),
         new DigestCommand(),
         new TrialCommand(),
-        new KeyCommand(new SecureRandom()));
+        new KeyCommand(new SecureRandom()),
+        new StatusCommand(),
+        new DrainCommand());
   }
 }
--- /dev/null
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/status/StatusText.java
@@ -0,0 +1,131 @@
+package org.kumquatvane.cli.status;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.kumquatvane.json.FaultCollector;
+import org.kumquatvane.json.JsonLimits;
+import org.kumquatvane.json.JsonReader;
+import org.kumquatvane.json.Located;
+import org.kumquatvane.json.ObjectReader;
+import org.kumquatvane.json.TextForm;
+
+/** Text form of the reports of the admin API, the most urgent facts first. */
+final class StatusText {
+  private static final TextForm TEXT = TextForm.of("(?s).{0,200}", "of at most 200 characters");
+  private static final String ELIGIBLE = "eligible";
+
+  private StatusText() {}
+
+  /**
+   * Writes the state of a process.
+   *
+   * @param ready answer of /v1/ready
+   * @param configuration answer of /v1/configuration
+   * @param instances answer of /v1/instances
+   * @param peers answer of /v1/peers
+   * @param work answer of /v1/work
+   * @return lines of text
+   */
+  static String write(
+      String ready, String configuration, String instances, String peers, String work) {
+    StringBuilder text = new StringBuilder();
+    writeReady(text, read(ready));
+    writeConfiguration(text, read(configuration));
+    writePeers(text, read(peers));
+    writeWork(text, read(work));
+    writeInstances(text, read(instances));
+    return text.toString();
+  }
+
+  private static ObjectReader read(String json) {
+    FaultCollector faults = new FaultCollector();
+    return new JsonReader(JsonLimits.STANDARD)
+        .read("answer", json.getBytes(StandardCharsets.UTF_8), faults)
+        .map(root -> ObjectReader.ofRoot("answer", root, faults))
+        .orElseThrow(() -> new IllegalStateException("the process sent no JSON: " + json));
+  }
+
+  private static void writeReady(StringBuilder text, ObjectReader ready) {
+    List<String> obstacles = ready.texts("obstacles", TEXT).stream().map(Located::value).toList();
+    text.append(obstacles.isEmpty() ? "READY" : "NOT READY: " + String.join(", ", obstacles));
+    text.append('\n');
+  }
+
+  private static void writeConfiguration(StringBuilder text, ObjectReader configuration) {
+    if (!configuration.truth("inForce", false)) {
+      text.append("configuration  none in force\n");
+      return;
+    }
+    text.append("configuration  generation ")
+        .append(configuration.integer("generation", 0, Long.MAX_VALUE))
+        .append(" digest ")
+        .append(configuration.text("digest", TextForm.SHA256), 0, 12)
+        .append('\n');
+  }
+
+  private static void writePeers(StringBuilder text, ObjectReader peers) {
+    String self = peers.text("self", TEXT);
+    boolean viewAgreed = peers.truth("viewAgreed", false);
+    List<String> outside = new ArrayList<>();
+    int[] count = {0};
+    peers.objects(
+        "vms",
+        vm -> {
+          count[0]++;
+          String name = vm.text("vm", TEXT);
+          vm.text("address", TEXT);
+          vm.text("failureDomain", TEXT);
+          vm.text("state", TEXT);
+          if (!vm.truth("inView", false)) {
+            outside.add(name);
+          }
+          return name;
+        });
+    text.append("fleet          ")
+        .append(count[0])
+        .append(" VMs listed, this one is ")
+        .append(self)
+        .append(viewAgreed ? ", view agreed" : ", NO AGREED VIEW");
+    if (viewAgreed && !outside.isEmpty()) {
+      text.append(", outside the view: ").append(String.join(" ", outside));
+    }
+    text.append('\n');
+  }
+
+  private static void writeWork(StringBuilder text, ObjectReader work) {
+    text.append("work           ")
+        .append(work.integer("requestsInFlight", 0, Integer.MAX_VALUE))
+        .append(" requests in flight, ")
+        .append(work.integer("queuedTasks", 0, Integer.MAX_VALUE))
+        .append(" tasks queued\n");
+  }
+
+  private static void writeInstances(StringBuilder text, ObjectReader instances) {
+    Map<String, Integer> eligible = new TreeMap<>();
+    Map<String, List<String>> others = new TreeMap<>();
+    instances.objects(
+        "instances",
+        instance -> {
+          String service = instance.text("service", TEXT);
+          String name = instance.text("instance", TEXT);
+          String state = instance.text("state", TEXT);
+          eligible.merge(service, state.equals(ELIGIBLE) ? 1 : 0, Integer::sum);
+          if (!state.equals(ELIGIBLE)) {
+            others.computeIfAbsent(service, unused -> new ArrayList<>()).add(name + " " + state);
+          }
+          return name;
+        });
+    eligible.forEach(
+        (service, number) -> {
+          List<String> out = others.getOrDefault(service, List.of());
+          text.append(String.format("%-14s %d in", service, number));
+          if (!out.isEmpty()) {
+            text.append(", ").append(out.size()).append(" out: ").append(String.join(", ", out));
+          }
+          text.append('\n');
+        });
+  }
+}
