Render paths and expectations only for messages

Cause: a sampling profile of reading 300,000 workspaces showed most time in regular expressions that each member name compiled, and in texts for faults that did not occur. Change: JsonPath keeps the raw name and escapes it in toString; ObjectReader builds expectations on a fault only.

--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonPath.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonPath.java
@@ -2,17 +2,21 @@
 
 import org.jspecify.annotations.Nullable;
 
-/** Path of a value below the root, such as {@code $.routes[2].service}; rendered only on demand. */
+/**
+ * Path of a value below the root, such as {@code $.routes[2].service}; rendered only for messages.
+ */
 public final class JsonPath {
   /** Path of the outermost value. */
-  public static final JsonPath ROOT = new JsonPath(null, "$");
+  public static final JsonPath ROOT = new JsonPath(null, "$", 0);
 
   private final @Nullable JsonPath parent;
-  private final String step;
+  private final @Nullable String name;
+  private final int index;
 
-  private JsonPath(@Nullable JsonPath parent, String step) {
+  private JsonPath(@Nullable JsonPath parent, @Nullable String name, int index) {
     this.parent = parent;
-    this.step = step;
+    this.name = name;
+    this.index = index;
   }
 
   /**
@@ -22,7 +26,7 @@
    * @return the path below this one
    */
   public JsonPath member(String name) {
-    return new JsonPath(this, "." + printable(name));
+    return new JsonPath(this, name, 0);
   }
 
   /**
@@ -32,12 +36,15 @@
    * @return the path below this one
    */
   public JsonPath element(int index) {
-    return new JsonPath(this, "[" + index + "]");
+    return new JsonPath(this, null, index);
   }
 
   @Override
   public String toString() {
-    return parent == null ? step : parent + step;
+    if (parent == null) {
+      return "$";
+    }
+    return parent + (name == null ? "[" + index + "]" : "." + printable(name));
   }
 
   /** Limits the length of names from the input and replaces control characters. */
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/ObjectReader.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/ObjectReader.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.kumquatvane.core.EnumNames;
 import org.kumquatvane.json.JsonValue.JsonArray;
@@ -113,7 +114,7 @@
    * @return the text, or an empty one after a fault
    */
   public String text(String name, TextForm form) {
-    return require(name, "a string " + form.description())
+    return require(name, () -> "a string " + form.description())
         .map(value -> textOf(value, place(name), form))
         .orElse("");
   }
@@ -138,7 +139,7 @@
    * @return the number, or the minimum after a fault
    */
   public long integer(String name, long minimum, long maximum) {
-    return require(name, "a whole number from " + minimum + " to " + maximum)
+    return require(name, () -> "a whole number from " + minimum + " to " + maximum)
         .map(value -> integerOf(value, place(name), minimum, maximum))
         .orElse(minimum);
   }
@@ -165,7 +166,7 @@
    * @return the number, or the minimum after a fault
    */
   public double decimal(String name, double minimum, double maximum) {
-    return require(name, "a number from " + shown(minimum) + " to " + shown(maximum))
+    return require(name, () -> "a number from " + shown(minimum) + " to " + shown(maximum))
         .map(value -> decimalOf(value, place(name), minimum, maximum))
         .orElse(minimum);
   }
@@ -242,7 +243,7 @@
    * @return a reader of its fields, or empty after a fault
    */
   public Optional<ObjectReader> requiredObject(String name) {
-    return require(name, "an object").map(value -> object(name));
+    return require(name, () -> "an object").map(value -> object(name));
   }
 
   /**
@@ -310,11 +311,11 @@
     return List.of();
   }
 
-  private Optional<JsonValue> require(String name, String expected) {
+  private Optional<JsonValue> require(String name, Supplier<String> expected) {
     known.add(name);
     JsonValue value = fields.get(name);
     if (value == null && usable) {
-      fault(name, "the field is missing", "add it with " + expected);
+      fault(name, "the field is missing", "add it with " + expected.get());
     }
     return Optional.ofNullable(value);
   }
