--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Answer.java
@@ -0,0 +1,42 @@
+package org.kumquatvane.verification.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * An answer as it came over the connection.
+ *
+ * @param status status code
+ * @param headers header lines
+ * @param body bytes of the body
+ * @param isWhole whether the body reached its declared end
+ */
+@SuppressWarnings("ArrayRecordComponent") // Answers are not compared.
+record Answer(int status, List<String> headers, byte[] body, boolean isWhole) {
+  String header(String name) {
+    String prefix = name.toLowerCase(Locale.ROOT) + ":";
+    return headers.stream()
+        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(prefix))
+        .map(line -> line.substring(prefix.length()).trim())
+        .findFirst()
+        .orElse("");
+  }
+
+  String execution() {
+    return header("Kumquatvane-Execution");
+  }
+
+  String reason() {
+    return header("Kumquatvane-Reason");
+  }
+
+  String text() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public String toString() {
+    return status + " " + headers + " whole=" + isWhole + " " + text().strip();
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Conditions.java
@@ -0,0 +1,55 @@
+package org.kumquatvane.verification.process;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+/**
+ * Waits for conditions with a limit that no healthy run comes near, however busy the machine is.
+ */
+final class Conditions {
+  private static final Duration LIMIT = Duration.ofSeconds(90);
+  private static final long INTERVAL_MILLIS = 20;
+
+  private Conditions() {}
+
+  /** A check that may fail while processes start or stop. */
+  @FunctionalInterface
+  interface Check {
+    boolean holds() throws Exception;
+  }
+
+  static void await(String description, Check condition) {
+    await(description, condition, () -> "");
+  }
+
+  static void await(String description, Check condition, Supplier<String> details) {
+    long start = System.nanoTime();
+    Throwable last = null;
+    while (System.nanoTime() - start < LIMIT.toNanos()) {
+      try {
+        if (condition.holds()) {
+          return;
+        }
+        last = null;
+        Thread.sleep(INTERVAL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      } catch (Exception e) {
+        last = e;
+        pause();
+      }
+    }
+    fail("not reached within " + LIMIT + ": " + description + "\n" + details.get(), last);
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(INTERVAL_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Fleet.java
@@ -0,0 +1,137 @@
+package org.kumquatvane.verification.process;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.kumquatvane.standins.BackendParameter;
+import org.kumquatvane.standins.BackendStandIn;
+import org.kumquatvane.standins.PlatformStandIn;
+import org.kumquatvane.standins.PlatformVm;
+import org.kumquatvane.standins.ReceivedRequest;
+
+/** Entry VMs, a platform and instances of service rota; all end with the test. */
+final class Fleet implements AutoCloseable {
+  private static final List<String> DOMAINS = List.of("a", "b", "c");
+  private static final long SEED = 20_260_101;
+
+  private final PlatformStandIn platform = new PlatformStandIn(Ports.free());
+  private final List<BackendStandIn> backends = new ArrayList<>();
+  private final List<EntryVm> vms = new ArrayList<>();
+  private final Map<String, String> keysByWorkspace = new LinkedHashMap<>();
+  private double ratePerSecond = 10_000;
+  private double burstRequests = 10_000;
+  private int generation;
+
+  /** Prepares a fleet; entry VMs are listed and not started. */
+  Fleet(int vmCount, int backendCount) {
+    for (int i = 0; i < backendCount; i++) {
+      BackendStandIn backend = new BackendStandIn("rota-" + i, "rota", Ports.free(), SEED + i);
+      backend.set(BackendParameter.WORK_MILLIS, 1);
+      backends.add(backend);
+      platform.putVm(backend.vm(DOMAINS.get(i % DOMAINS.size())));
+    }
+    for (int i = 0; i < vmCount; i++) {
+      EntryVm vm = new EntryVm("entry-" + i, DOMAINS.get(i % DOMAINS.size()), platform.port(0));
+      vms.add(vm);
+      platform.putVm(PlatformVm.entry(vm.id(), vm.peerAddress(), vm.failureDomain()));
+    }
+    for (String workspace : List.of("alpha", "beta", "gamma")) {
+      keysByWorkspace.put(workspace, TestKeys.callerKey(workspace));
+    }
+    publish();
+  }
+
+  /** Starts all entry VMs and waits until they are ready. */
+  Fleet start() throws IOException {
+    for (EntryVm vm : vms) {
+      vm.start();
+    }
+    vms.forEach(EntryVm::awaitReady);
+    return this;
+  }
+
+  PlatformStandIn platform() {
+    return platform;
+  }
+
+  BackendStandIn backend(int index) {
+    return backends.get(index);
+  }
+
+  EntryVm vm(int index) {
+    return vms.get(index);
+  }
+
+  String key(String workspace) {
+    return keysByWorkspace.getOrDefault(workspace, "");
+  }
+
+  List<ReceivedRequest> received() {
+    return backends.stream().flatMap(backend -> backend.requests().stream()).toList();
+  }
+
+  /** Counts the requests of an operation key on which work began, over all instances. */
+  long runs(String operationKey) {
+    return received().stream()
+        .filter(request -> operationKey.equals(request.idempotencyKey()) && request.ran())
+        .count();
+  }
+
+  /** Grants another key to a workspace in place of the present one. */
+  void replaceKey(String workspace, String key) {
+    keysByWorkspace.put(workspace, key);
+    publish();
+  }
+
+  void setRate(double newRatePerSecond, double newBurstRequests) {
+    ratePerSecond = newRatePerSecond;
+    burstRequests = newBurstRequests;
+    publish();
+  }
+
+  private void publish() {
+    generation++;
+    String workspaces =
+        keysByWorkspace.entrySet().stream()
+            .map(
+                entry ->
+                    "{\"name\":\"%s\",\"keySha256\":[\"%s\"],\"ratePerSecond\":%s,\"burstRequests\":%s}"
+                        .formatted(
+                            entry.getKey(),
+                            TestKeys.digest(entry.getValue()),
+                            ratePerSecond,
+                            burstRequests))
+            .collect(Collectors.joining(","));
+    String document =
+        """
+        {
+          "generation": %d,
+          "fleet": {"maximumVmCount": %d},
+          "workspaces": [%s],
+          "services": [
+            {"name": "rota", "slotsPerInstance": 3, "maximumConnectionsPerInstance": 350,
+             "warmUpMillis": 0, "ejection": {"profile": "fast", "healthyFloorPercent": 50}}
+          ],
+          "routes": [
+            {"name": "look-ups", "service": "rota", "methods": ["GET"], "path": "/rota/**",
+             "open": true, "timeoutMillis": 60000},
+            {"name": "bookings", "service": "rota", "methods": ["POST"], "path": "/rota/bookings",
+             "open": true, "timeoutMillis": 60000}
+          ]
+        }
+        """
+            .formatted(generation, Math.max(1, vms.size()), workspaces);
+    platform.putValue("document", document.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void close() {
+    vms.forEach(EntryVm::close);
+    backends.forEach(BackendStandIn::close);
+    platform.close();
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/LifecycleProcessTest.java
@@ -0,0 +1,196 @@
+package org.kumquatvane.verification.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.standins.Availability;
+import org.kumquatvane.standins.BackendParameter;
+import org.kumquatvane.standins.ReceivedRequest;
+
+/** Guards invariants 4, 9, 10 and 11: keys, instances, stops and configurations that change. */
+class LifecycleProcessTest {
+  /** Guards against a planned stop that interrupts a request in flight. */
+  @ParameterizedTest
+  @CsvSource({"GET, 256", "GET, 5000000", "POST, 256"})
+  void requestInFlightCompletesDuringPlannedStop(String method, int bytes) throws Exception {
+    try (Fleet fleet = new Fleet(2, 1).start()) {
+      awaitBooking(fleet);
+      String target = "/rota/bookings?workMillis=2000&answerBytes=" + bytes;
+      try (CallerConnection caller = connect(fleet, 0)) {
+        if (method.equals("GET")) {
+          caller.send("GET " + target + " HTTP/1.1", bearer(fleet));
+        } else {
+          caller.sendPost(target, fleet.key("alpha"), TestKeys.operationKey(), "{}");
+        }
+        Conditions.await("work began", () -> ran(fleet, target) == 1);
+        fleet.vm(0).terminate();
+        Answer answer = caller.read();
+        assertEquals(200, answer.status(), answer::toString);
+        assertTrue(answer.isWhole());
+        assertTrue(answer.body().length >= bytes);
+      }
+      assertEquals(0, fleet.vm(0).exitCode(), fleet.vm(0)::log);
+      assertEquals(1, ran(fleet, target));
+    }
+  }
+
+  /** Guards against a key that stays usable on connections opened before its withdrawal. */
+  @Test
+  void withdrawnKeyIsDeadOnOpenConnections() throws Exception {
+    try (Fleet fleet = new Fleet(2, 1).start();
+        CallerConnection first = connect(fleet, 0);
+        CallerConnection second = connect(fleet, 1)) {
+      String withdrawn = fleet.key("alpha");
+      String granted = TestKeys.callerKey("alpha-2");
+      assertEquals(200, first.get("/rota/before", withdrawn).status());
+      assertEquals(200, second.get("/rota/before", withdrawn).status());
+      fleet.replaceKey("alpha", granted);
+      for (CallerConnection caller : List.of(first, second)) {
+        Conditions.await(
+            "the key is refused", () -> caller.get("/rota/until", withdrawn).status() == 401);
+        for (int i = 0; i < 20; i++) {
+          assertEquals(401, caller.get("/rota/after", withdrawn).status());
+          assertEquals(200, caller.get("/rota/granted", granted).status());
+        }
+      }
+      assertEquals(0, ran(fleet, "/rota/after"));
+    }
+  }
+
+  /** Guards against a fleet that does not start while the platform is away. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Availability.class,
+      names = {"REFUSING", "HANGING"})
+  void startsOnceThePlatformAnswers(Availability away) throws Exception {
+    try (Fleet fleet = new Fleet(1, 1)) {
+      fleet.platform().changeView(0, away, 0, 0);
+      fleet.vm(0).start();
+      Conditions.await(
+          "the process is live", () -> fleet.vm(0).admin("/v1/live").statusCode() == 200);
+      assertFalse(fleet.vm(0).isReady());
+      fleet.platform().changeView(0, Availability.ANSWERING, 0, 0);
+      fleet.vm(0).awaitReady();
+      awaitLookup(fleet, 0);
+    }
+  }
+
+  /** Guards against a VM that cannot join while the platform is away. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Availability.class,
+      names = {"REFUSING", "HANGING"})
+  void runningFleetOutlivesThePlatform(Availability away) throws Exception {
+    try (Fleet fleet = new Fleet(2, 1).start()) {
+      fleet.platform().changeView(0, away, 0, 0);
+      for (int i = 0; i < 20; i++) {
+        awaitLookup(fleet, i % 2);
+      }
+      assertTrue(fleet.vm(0).isReady());
+      assertTrue(fleet.vm(1).isReady());
+    }
+  }
+
+  /** Guards against a configuration that reverts when the platform shows an older document. */
+  @Test
+  void staleDocumentChangesNothing() throws Exception {
+    try (Fleet fleet = new Fleet(1, 1).start()) {
+      String withdrawn = fleet.key("alpha");
+      fleet.replaceKey("alpha", TestKeys.callerKey("alpha-2"));
+      awaitLookup(fleet, 0);
+      fleet.platform().changeView(0, Availability.ANSWERING, 0, 1);
+      long calls = fleet.platform().calls(0);
+      Conditions.await("the platform was read again", () -> fleet.platform().calls(0) > calls + 2);
+      try (CallerConnection caller = connect(fleet, 0)) {
+        assertEquals(401, caller.get("/rota/stale", withdrawn).status());
+        assertEquals(200, caller.get("/rota/stale", fleet.key("alpha")).status());
+      }
+    }
+  }
+
+  /** Guards against new work for an instance that leaves. */
+  @ParameterizedTest
+  @ValueSource(strings = {"list", "removed", "header"})
+  void leavingInstanceGetsNoNewWork(String signal) throws Exception {
+    try (Fleet fleet = new Fleet(1, 2).start();
+        CallerConnection caller = connect(fleet, 0)) {
+      String key = fleet.key("alpha");
+      Conditions.await(
+          "both instances work",
+          () -> {
+            assertEquals(200, caller.get("/rota/both", key).status());
+            return count(fleet, 0) > 0 && count(fleet, 1) > 0;
+          });
+      switch (signal) {
+        case "list" -> fleet.platform().setVmState("rota-0", "leaving");
+        case "removed" -> fleet.platform().removeVm("rota-0");
+        default -> fleet.backend(0).set(BackendParameter.DRAINING, 1);
+      }
+      Conditions.await(
+          "50 requests in a row go to the other instance",
+          () -> {
+            long before = count(fleet, 0);
+            for (int i = 0; i < 50; i++) {
+              assertEquals(200, caller.get("/rota/leaving", key).status());
+            }
+            return count(fleet, 0) == before;
+          });
+      long before = count(fleet, 0);
+      for (int i = 0; i < 200; i++) {
+        assertEquals(200, caller.get("/rota/left", key).status());
+      }
+      assertEquals(before, count(fleet, 0));
+    }
+  }
+
+  private static void awaitLookup(Fleet fleet, int vm) {
+    Conditions.await(
+        "a look-up is answered",
+        () -> {
+          try (CallerConnection caller = connect(fleet, vm)) {
+            return caller.get("/rota/look-up", fleet.key("alpha")).status() == 200;
+          }
+        },
+        fleet.vm(vm)::log);
+  }
+
+  private static void awaitBooking(Fleet fleet) {
+    Conditions.await(
+        "bookings are accepted",
+        () -> {
+          try (CallerConnection caller = connect(fleet, 0)) {
+            return caller
+                    .post("/rota/bookings", fleet.key("alpha"), TestKeys.operationKey(), "{}")
+                    .status()
+                == 200;
+          }
+        },
+        fleet.vm(0)::log);
+  }
+
+  private static long count(Fleet fleet, int backend) {
+    return fleet.backend(backend).requests().stream().filter(ReceivedRequest::ran).count();
+  }
+
+  private static long ran(Fleet fleet, String target) {
+    return fleet.received().stream()
+        .filter(entry -> entry.target().equals(target) && entry.ran())
+        .count();
+  }
+
+  private static String bearer(Fleet fleet) {
+    return "Authorization: Bearer " + fleet.key("alpha");
+  }
+
+  private static CallerConnection connect(Fleet fleet, int vm) throws IOException {
+    return new CallerConnection(fleet.vm(vm).callerPort());
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Ports.java
@@ -0,0 +1,31 @@
+package org.kumquatvane.verification.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Free ports on loopback. */
+final class Ports {
+  // Below the range from which Linux takes ports of outgoing connections, so that a port found free
+  // stays free until the process that gets it listens.
+  private static final int FIRST = 20_000;
+  private static final int COUNT = 10_000;
+
+  private static final AtomicInteger NEXT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % COUNT));
+
+  private Ports() {}
+
+  static int free() {
+    for (int i = 0; i < COUNT; i++) {
+      int port = FIRST + NEXT.getAndIncrement() % COUNT;
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (IOException ignored) {
+        // Another process uses the port.
+      }
+    }
+    throw new IllegalStateException("no free port on loopback");
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/RequestsProcessTest.java
@@ -0,0 +1,177 @@
+package org.kumquatvane.verification.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.standins.BackendParameter;
+import org.kumquatvane.standins.ReceivedRequest;
+import org.kumquatvane.standins.ReceivedRequest.Outcome;
+
+/** Guards invariants 2, 3 and 6: the right workspace, no key at a server, whole and own answers. */
+class RequestsProcessTest {
+  private static final Fleet FLEET = new Fleet(1, 1);
+  private static final String KEY = FLEET.key("alpha");
+
+  @BeforeAll
+  static void start() throws IOException {
+    FLEET.start();
+  }
+
+  @AfterAll
+  static void stop() {
+    FLEET.close();
+  }
+
+  @BeforeEach
+  void resetBehaviour() {
+    FLEET.backend(0).set(BackendParameter.TRUNCATE_SHARE, 0);
+    FLEET.backend(0).set(BackendParameter.CROSS_SHARE, 0);
+  }
+
+  /** Guards against answers cut or mixed up on one connection. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 70_000, 5_000_000})
+  void answersAreWhole(int bytes) throws Exception {
+    try (CallerConnection caller = connect()) {
+      for (int i = 0; i < 5; i++) {
+        Answer answer = caller.get("/rota/whole/" + i + "?answerBytes=" + bytes, KEY);
+        assertEquals(200, answer.status(), answer::toString);
+        assertTrue(answer.isWhole());
+        assertTrue(answer.body().length >= bytes);
+        assertTrue(answer.text().contains("/rota/whole/" + i));
+        assertEquals("run", answer.execution());
+      }
+    }
+  }
+
+  /** Guards against a cut answer that a caller takes for a whole one. */
+  @Test
+  void truncatedAnswerBreaksTheConnectionOfTheCaller() throws Exception {
+    FLEET.backend(0).set(BackendParameter.TRUNCATE_SHARE, 1);
+    for (int i = 0; i < 10; i++) {
+      try (CallerConnection caller = connect()) {
+        caller.send("GET /rota/truncated HTTP/1.1", "Authorization: Bearer " + KEY);
+        Answer answer = readOrClosed(caller);
+        assertFalse(answer.status() == 200 && answer.isWhole(), answer::toString);
+      }
+    }
+  }
+
+  /** Guards against a caller that receives the answer to another request. */
+  @Test
+  void crossedAnswerIsRefused() throws Exception {
+    FLEET.backend(0).set(BackendParameter.CROSS_SHARE, 1);
+    try (CallerConnection caller = connect()) {
+      for (int i = 0; i < 10; i++) {
+        Answer answer = caller.get("/rota/crossed", KEY);
+        assertNotEquals(200, answer.status(), answer::toString);
+        assertNotEquals("not-run", answer.execution(), answer::toString);
+      }
+    }
+  }
+
+  /** Guards against work that goes on for a caller that has gone. */
+  @ParameterizedTest
+  @ValueSource(strings = {"close", "reset"})
+  void workStopsWhenTheCallerLeaves(String how) throws Exception {
+    String target = "/rota/left/" + how + "?workMillis=600000";
+    CallerConnection caller = connect();
+    caller.send("GET " + target + " HTTP/1.1", "Authorization: Bearer " + KEY);
+    Conditions.await("work began", () -> find(target).stream().anyMatch(ReceivedRequest::ran));
+    if (how.equals("reset")) {
+      caller.reset();
+    }
+    caller.close();
+    Conditions.await(
+        "work was cancelled",
+        () -> find(target).stream().anyMatch(entry -> entry.outcome() == Outcome.CANCELLED));
+  }
+
+  /** Guards against a caller that names a workspace of its choice. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"Kumquatvane-Workspace", "KUMQUATVANE-WORKSPACE", "kumquatvane-workspace"})
+  void workspaceComesFromTheKeyOnly(String header) throws Exception {
+    String target = "/rota/workspace/" + header;
+    try (CallerConnection caller = connect()) {
+      caller.send("GET " + target + " HTTP/1.1", "Authorization: Bearer " + KEY, header + ": beta");
+      assertEquals(200, caller.read().status());
+    }
+    assertEquals(List.of("alpha"), find(target).stream().map(ReceivedRequest::workspace).toList());
+  }
+
+  /**
+   * Guards against a caller's key that reaches a server by an unusual way; {@code KEY} stands for
+   * it.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "GET /rota/k HTTP/1.1|AUTHORIZATION: Bearer KEY",
+        "GET /rota/k HTTP/1.1|authorization: bearer KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Authorization: Bearer KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Authorization: other",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|X-Api-Key: KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Proxy-Authorization: Bearer KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Cookie: session=KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|KEY: 1",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Referer: http://x/?a=%6bv1_BARE",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Idempotency-Key: KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Kumquatvane-Request-Id: KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Connection: keep-alive, KEY",
+        "GET /rota/k HTTP/1.1|Authorization : Bearer KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|X-Folded: a| KEY",
+        "GET /rota/k?key=KEY HTTP/1.1|Authorization: Bearer KEY",
+        "GET /rota/k?key=KEY HTTP/1.1|X: y",
+        "GET /rota/k?key=%6Bv1_BARE HTTP/1.1|Authorization: Bearer KEY",
+        "GET /rota/k?key=%256Bv1_BARE HTTP/1.1|Authorization: Bearer KEY",
+        "GET /rota/KEY HTTP/1.1|Authorization: Bearer KEY",
+        "GET http://KEY@test/rota/k HTTP/1.1|Authorization: Bearer KEY",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Transfer-Encoding: chunked||0|X-Key: KEY|",
+        "GET /rota/k HTTP/1.1|Authorization: Bearer KEY|Transfer-Encoding: chunked||0"
+            + "|Authorization: Bearer KEY|",
+      })
+  void keyNeverReachesServer(String form) throws Exception {
+    String bare = KEY.substring("kv1_".length());
+    String request = form.replace("KEY", KEY).replace("BARE", bare).replace("|", "\r\n");
+    try (CallerConnection caller = connect()) {
+      caller.write(request.replaceFirst("\r\n", "\r\nHost: test\r\n") + "\r\n\r\n");
+      Answer answer = readOrClosed(caller);
+      assertTrue(answer.status() < 500, answer::toString);
+    }
+    try (CallerConnection next = connect()) {
+      assertEquals(200, next.get("/rota/after", KEY).status());
+    }
+    assertEquals(
+        List.of(), FLEET.received().stream().filter(ReceivedRequest::callerKeySeen).toList());
+    FLEET.received().forEach(entry -> assertEquals("alpha", entry.workspace(), entry::toString));
+  }
+
+  private static CallerConnection connect() throws IOException {
+    return new CallerConnection(FLEET.vm(0).callerPort());
+  }
+
+  /** Reads an answer; a connection closed before its head counts as status 0. */
+  private static Answer readOrClosed(CallerConnection caller) throws IOException {
+    try {
+      return caller.read();
+    } catch (EOFException e) {
+      return new Answer(0, List.of(), new byte[0], false);
+    }
+  }
+
+  private static List<ReceivedRequest> find(String target) {
+    return FLEET.received().stream().filter(entry -> entry.target().equals(target)).toList();
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/TestKeys.java
@@ -0,0 +1,38 @@
+package org.kumquatvane.verification.process;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.UUID;
+
+/** Keys that the tests grant, and keys of operations. */
+final class TestKeys {
+  private TestKeys() {}
+
+  /** Derives a caller's key from a name, the same one every time. */
+  static String callerKey(String name) {
+    return "kv1_" + Base64.getUrlEncoder().withoutPadding().encodeToString(sha256(name));
+  }
+
+  static String digest(String key) {
+    return HexFormat.of().formatHex(sha256(key));
+  }
+
+  /** Makes a UUIDv7 of the current time. */
+  static String operationKey() {
+    UUID random = UUID.randomUUID();
+    long high =
+        (System.currentTimeMillis() << 16) | 0x7000 | (random.getMostSignificantBits() & 0xFFF);
+    return new UUID(high, random.getLeastSignificantBits()).toString();
+  }
+
+  private static byte[] sha256(String text) {
+    try {
+      return MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
