--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/ModuleDirectionTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/ModuleDirectionTest.java
@@ -45,6 +45,7 @@
           "platform",
           "http",
           "admin",
+          "server",
           "cli");
 
   private static final List<String> DECISION_MODULES =
