Add the distribution of documents, withdrawals and VM lists

Cause: no VM learned of configuration. Change: ConfigurationDistributor with readers by rendezvous order and peer evidence, offers, requests and parts by digest, fragments that travel once, withdrawals ahead of the document, VM list reports, and heartbeats that reveal what was lost. Heartbeats carry the VM list's version. OrderedEffects moves to core, since two modules use it; LockRank gets DISTRIBUTION.

--- a/kumquatvane-core/src/main/java/org/kumquatvane/core/LockRank.java
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/LockRank.java
@@ -6,6 +6,8 @@
  * <p>The declaration order is the rank order. docs/design.md lists the table behind each rank.
  */
 public enum LockRank {
+  /** Documents in transfer, known withdrawals and the newest VM list. */
+  DISTRIBUTION,
   /** Configuration in force and its generation. */
   CONFIGURATION,
   /** VM list, peer evidence and the agreed view. */
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/internal/OrderedEffects.java
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/OrderedEffects.java
@@ -1,4 +1,4 @@
-package org.kumquatvane.membership.internal;
+package org.kumquatvane.core;
 
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
--- /dev/null
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ConfigurationInquiry.java
@@ -0,0 +1,12 @@
+package org.kumquatvane.distribution;
+
+import org.kumquatvane.core.PeerMessage;
+import org.kumquatvane.membership.ConfigurationMark;
+
+/**
+ * Asks for everything newer than what the sender has; a starting VM sends it, since peers whose VM
+ * list does not show it yet ignore its heartbeats.
+ *
+ * @param known what the sender has
+ */
+public record ConfigurationInquiry(ConfigurationMark known) implements PeerMessage {}
--- /dev/null
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ContentDigest.java
@@ -0,0 +1,42 @@
+package org.kumquatvane.distribution;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.regex.Pattern;
+
+/**
+ * SHA-256 of a document's main bytes or of one fragment.
+ *
+ * @param hex 64 lower-case hexadecimal digits
+ */
+public record ContentDigest(String hex) {
+  private static final Pattern FORM = Pattern.compile("[0-9a-f]{64}");
+
+  /** Rejects another form. */
+  public ContentDigest {
+    if (!FORM.matcher(hex).matches()) {
+      throw new IllegalArgumentException("a digest has 64 lower-case hexadecimal digits");
+    }
+  }
+
+  /**
+   * Digests bytes.
+   *
+   * @param bytes the bytes
+   * @return their digest
+   */
+  public static ContentDigest of(byte[] bytes) {
+    try {
+      byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
+      return new ContentDigest(HexFormat.of().formatHex(digest));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java runtime provides SHA-256", e);
+    }
+  }
+
+  @Override
+  public String toString() {
+    return hex.substring(0, 12);
+  }
+}
--- /dev/null
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/VmListReport.java
@@ -0,0 +1,11 @@
+package org.kumquatvane.distribution;
+
+import org.kumquatvane.core.PeerMessage;
+import org.kumquatvane.membership.VmList;
+
+/**
+ * The newest VM list that the sender knows.
+ *
+ * @param list the list
+ */
+public record VmListReport(VmList list) implements PeerMessage {}
--- /dev/null
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/Readers.java
@@ -0,0 +1,34 @@
+package org.kumquatvane.distribution.internal;
+
+import java.util.List;
+import org.kumquatvane.membership.FleetMembership;
+import org.kumquatvane.membership.Rendezvous;
+import org.kumquatvane.membership.Vm;
+import org.kumquatvane.membership.VmState;
+
+/** Chooses the VMs that read the platform. */
+public final class Readers {
+  private static final String KEY_PREFIX = "platform-reader/";
+
+  private Readers() {}
+
+  /**
+   * Tells whether this VM reads the platform: it is among the first VMs of its failure domain that
+   * are live and heard. A reader that fails is no longer heard, so the next in order replaces it.
+   *
+   * @param membership VM list and evidence of this VM
+   * @param count readers of each failure domain
+   * @return whether this VM is a reader
+   */
+  public static boolean includesSelf(FleetMembership membership, int count) {
+    Vm self = membership.self();
+    List<Vm> candidates =
+        membership.listedVms().stream()
+            .filter(vm -> vm.failureDomain().equals(self.failureDomain()))
+            .filter(vm -> vm.state() == VmState.LIVE && membership.hears(vm.id()))
+            .toList();
+    return Rendezvous.order(KEY_PREFIX + self.failureDomain(), candidates).stream()
+        .limit(count)
+        .anyMatch(vm -> vm.id().equals(self.id()));
+  }
+}
--- /dev/null
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/GenerationPropertyTest.java
@@ -0,0 +1,110 @@
+package org.kumquatvane.distribution;
+
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import org.kumquatvane.core.VmId;
+
+/** Guards against a VM that returns to an older document, and against VMs that stay behind. */
+class GenerationPropertyTest {
+  /** More seeds for each try: {@code -Dkumquatvane.seedsPerTry=100}. */
+  private static final int SEEDS_PER_TRY = Integer.getInteger("kumquatvane.seedsPerTry", 1);
+
+  @Property(tries = 30, seed = "20261204", shrinking = ShrinkingMode.OFF)
+  void generationsOnlyRiseAndFaultsHeal(
+      @ForAll long seed, @ForAll @IntRange(min = 2, max = 9) int size) {
+    for (int i = 0; i < SEEDS_PER_TRY; i++) {
+      new Faults(new DistributionFleet(seed + i, size)).run();
+    }
+  }
+
+  private static final class Faults {
+    private final DistributionFleet fleet;
+    private long generation = 1;
+
+    Faults(DistributionFleet fleet) {
+      this.fleet = fleet;
+    }
+
+    void run() {
+      publish(generation, "first");
+      for (int i = 0; i < 40; i++) {
+        injectOne();
+        fleet.advance(Duration.ofMillis(10 + fleet.random.nextInt(2_000)));
+        fleet.running().forEach(Faults::checkOrder);
+      }
+      heal();
+      publish(++generation, "last");
+      fleet.untilAll(member -> member.generation() == generation, Duration.ofSeconds(30));
+      fleet.running().forEach(Faults::checkOrder);
+    }
+
+    private static void checkOrder(DistributionFleet.Member member) {
+      List<Long> seen = member.generations;
+      for (int i = 1; i < seen.size(); i++) {
+        if (seen.get(i) <= seen.get(i - 1)) {
+          throw new AssertionError("generation decreased: " + seen);
+        }
+      }
+    }
+
+    private void injectOne() {
+      switch (fleet.random.nextInt(10)) {
+        case 0 -> fleet.network.setBlocked(anyVm().vm.id(), anyVm().vm.id(), true);
+        case 1 -> fleet.network.setFaults(fleet.random.nextDouble() / 2, fleet.random.nextDouble());
+        case 2 -> anyVm().process.pause(fleet.random.nextBoolean());
+        case 3 -> resumeAll();
+        case 4 -> replaceOne();
+        case 5 -> fleet.platform.cutOff.add(anyVm().vm.id());
+        case 6 -> fleet.platform.freeze(anyVm().vm.id());
+        case 7 ->
+            fleet.platform.differ(
+                anyVm().vm.id(),
+                DistributionFleet.VALUE,
+                TextDocuments.bytes("generation " + generation, "key other"));
+        // A source restored from an old copy publishes a lower generation with a newer version.
+        case 8 -> publish(Math.max(1, generation - fleet.random.nextInt(3)), "old");
+        default -> publish(++generation, "new");
+      }
+    }
+
+    private void publish(long published, String key) {
+      fleet.platform.publish(
+          DistributionFleet.VALUE, TextDocuments.bytes("generation " + published, "key " + key));
+    }
+
+    private DistributionFleet.Member anyVm() {
+      List<DistributionFleet.Member> running = fleet.running();
+      return running.get(fleet.random.nextInt(running.size()));
+    }
+
+    private void replaceOne() {
+      if (fleet.running().size() > 1) {
+        anyVm().kill();
+      }
+      fleet.startVm();
+      fleet.publishList();
+    }
+
+    private void resumeAll() {
+      for (DistributionFleet.Member member : fleet.running()) {
+        member.process.resume();
+        member.process.runWaiting();
+      }
+    }
+
+    private void heal() {
+      resumeAll();
+      fleet.platform.heal();
+      fleet.network.setFaults(0, 0);
+      for (VmId from : fleet.members.keySet()) {
+        for (VmId to : fleet.members.keySet()) {
+          fleet.network.setBlocked(from, to, false);
+        }
+      }
+    }
+  }
+}
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/ConfigurationMark.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/ConfigurationMark.java
@@ -4,9 +4,10 @@
  * What a VM has in force, sent with each heartbeat so that a lost offer is noticed.
  *
  * @param generation generation of the document in force, 0 before the first one
- * @param withdrawalCount number of key withdrawals that the VM knows
+ * @param withdrawalCount number of key withdrawals that the VM knows ahead of its document
+ * @param vmListVersion version of the newest VM list, 0 before the first one
  */
-public record ConfigurationMark(long generation, int withdrawalCount) {
+public record ConfigurationMark(long generation, int withdrawalCount, long vmListVersion) {
   /** The mark of a VM without a document. */
-  public static final ConfigurationMark NONE = new ConfigurationMark(0, 0);
+  public static final ConfigurationMark NONE = new ConfigurationMark(0, 0, 0);
 }
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/FleetMembership.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/FleetMembership.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.kumquatvane.core.VmId;
 
 /** What this VM knows about the other VMs of the fleet. */
 public interface FleetMembership {
@@ -26,6 +27,16 @@
    */
   List<Vm> listedVms();
 
+  /**
+   * Tells whether this VM hears another one and has no announcement of its departure.
+   *
+   * @param vm a listed VM, or this one
+   * @return whether it takes part by the evidence of this VM
+   */
+  default boolean hears(VmId vm) {
+    return listedVms().stream().anyMatch(listed -> listed.id().equals(vm));
+  }
+
   /**
    * Adds a listener; not thread-safe, for start-up only.
    *
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/HeartbeatMembership.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/HeartbeatMembership.java
@@ -17,6 +17,7 @@
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LockRank;
 import org.kumquatvane.core.LogField;
+import org.kumquatvane.core.OrderedEffects;
 import org.kumquatvane.core.PeerDispatcher;
 import org.kumquatvane.core.PeerMessage;
 import org.kumquatvane.core.PeerSender;
@@ -24,7 +25,6 @@
 import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.core.VmId;
 import org.kumquatvane.membership.internal.CandidateView;
-import org.kumquatvane.membership.internal.OrderedEffects;
 import org.kumquatvane.membership.internal.PeerEvidence;
 import org.kumquatvane.membership.internal.PromiseBook;
 
@@ -216,12 +216,7 @@
     listeners.add(listener);
   }
 
-  /**
-   * Tells whether this VM hears another one and has no announcement of its departure.
-   *
-   * @param vm a listed VM, or this one
-   * @return whether it takes part
-   */
+  @Override
   public boolean hears(VmId vm) {
     return vm.equals(self.id()) || lock.call(() -> !departed.contains(vm) && isIntact(vm));
   }
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/HeartbeatCodec.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/HeartbeatCodec.java
@@ -10,6 +10,7 @@
   private static final int VIEW_DIGEST = 2;
   private static final int GENERATION = 3;
   private static final int WITHDRAWAL_COUNT = 4;
+  private static final int VM_LIST_VERSION = 5;
 
   @Override
   public int type() {
@@ -27,6 +28,7 @@
     fields.integer(VIEW_DIGEST, message.viewDigest());
     fields.integer(GENERATION, message.configuration().generation());
     fields.integer(WITHDRAWAL_COUNT, message.configuration().withdrawalCount());
+    fields.integer(VM_LIST_VERSION, message.configuration().vmListVersion());
   }
 
   @Override
@@ -35,15 +37,18 @@
     long viewDigest = 0;
     long generation = 0;
     int withdrawalCount = 0;
+    long vmListVersion = 0;
     for (int field = fields.next(); field >= 0; field = fields.next()) {
       switch (field) {
         case NONCE -> nonce = fields.smallInteger();
         case VIEW_DIGEST -> viewDigest = fields.integer();
         case GENERATION -> generation = fields.integer();
         case WITHDRAWAL_COUNT -> withdrawalCount = fields.smallInteger();
+        case VM_LIST_VERSION -> vmListVersion = fields.integer();
         default -> fields.skip();
       }
     }
-    return new Heartbeat(nonce, viewDigest, new ConfigurationMark(generation, withdrawalCount));
+    return new Heartbeat(
+        nonce, viewDigest, new ConfigurationMark(generation, withdrawalCount, vmListVersion));
   }
 }
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -16,7 +16,7 @@
 
   static Stream<PeerMessage> all() {
     return Stream.of(
-        new Heartbeat(-7, Long.MIN_VALUE, new ConfigurationMark(12_345, 3)),
+        new Heartbeat(-7, Long.MIN_VALUE, new ConfigurationMark(12_345, 3, 77)),
         new HeartbeatReply(Integer.MAX_VALUE, Long.MAX_VALUE),
         new ReachabilityReport(1_760_000_000_000L, Set.of()),
         new ReachabilityReport(2, Set.of(new VmId("e1"), new VmId("ê2"))),
