--- /dev/null
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -0,0 +1,196 @@
+package org.kumquatvane.server;
+
+import java.io.IOException;
+import java.security.GeneralSecurityException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.kumquatvane.admin.AdminRoute;
+import org.kumquatvane.admin.AdminServer;
+import org.kumquatvane.admin.AdminSettings;
+import org.kumquatvane.admin.ConfigurationReport;
+import org.kumquatvane.admin.InstancesReport;
+import org.kumquatvane.admin.PeersReport;
+import org.kumquatvane.admin.WorkReport;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.EventLog;
+import org.kumquatvane.core.LogField;
+import org.kumquatvane.document.ConfigurationTable;
+import org.kumquatvane.document.Document;
+import org.kumquatvane.document.DocumentListener;
+import org.kumquatvane.http.BackendConnections;
+import org.kumquatvane.http.BodyLimits;
+import org.kumquatvane.http.CallerProtocol;
+import org.kumquatvane.http.CallerServer;
+import org.kumquatvane.http.CallerServerDependencies;
+import org.kumquatvane.http.CallerServerSettings;
+import org.kumquatvane.http.TlsFiles;
+import org.kumquatvane.membership.ConfigurationMark;
+import org.kumquatvane.platform.PlatformClient;
+import org.kumquatvane.server.internal.DecisionParts;
+import org.kumquatvane.server.internal.DirectPlatformReader;
+import org.kumquatvane.server.internal.FleetParts;
+import org.kumquatvane.server.internal.InstanceFeed;
+import org.kumquatvane.server.internal.ProcessRuntime;
+import org.kumquatvane.server.internal.ReadinessState;
+import org.kumquatvane.server.internal.SecretReader;
+import org.kumquatvane.settings.Secret;
+import org.kumquatvane.settings.Settings;
+
+/** One running proxy process. */
+public final class ProxyServer {
+  /** Time for which the announcement of the departure is repeated, in case a message is lost. */
+  private static final Duration DEPARTURE_TIME = Duration.ofMillis(1_500);
+
+  private final Settings settings;
+  private final ProcessRuntime runtime;
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private final CallerServer callers;
+  private final AdminServer admin;
+  private final BackendConnections connections;
+  private final PlatformClient platform;
+  private final FleetParts fleet;
+  private final DecisionParts decisions;
+  private final ConfigurationTable configuration;
+
+  private ProxyServer(Settings settings, EventLog eventLog, Runnable onDrainRequest)
+      throws IOException, GeneralSecurityException {
+    this.settings = settings;
+    runtime = new ProcessRuntime(settings, eventLog);
+    fleet = new FleetParts(settings, runtime, this::configurationMark);
+    decisions = new DecisionParts(settings, runtime, fleet);
+    List<DocumentListener> listeners = new ArrayList<>(decisions.documentListeners());
+    listeners.add(fleet);
+    configuration = new ConfigurationTable(listeners, runtime.monitor());
+    connections = new BackendConnections(runtime.clock());
+    platform = new PlatformClient(settings.platform().endpoint());
+    DirectPlatformReader reader =
+        new DirectPlatformReader(
+            platform,
+            settings.platform().documentName(),
+            configuration,
+            List.of(
+                fleet,
+                decisions.health(),
+                new InstanceFeed(decisions.instances(), connections, decisions.engine())),
+            runtime.workers(),
+            runtime.scheduler(),
+            runtime.clock(),
+            runtime.eventLog());
+    ReadinessState readiness = new ReadinessState();
+    readiness.require("no_configuration", () -> configuration.current().isPresent());
+    readiness.require("no_vm_list", reader::hasList);
+    readiness.require("draining", () -> !draining.get());
+    admin = createAdmin(readiness, onDrainRequest);
+    admin.start();
+    callers =
+        CallerServer.start(
+            callerSettings(settings),
+            new CallerServerDependencies(
+                decisions.engine(),
+                runtime.workers(),
+                connections,
+                runtime.clock(),
+                runtime.counters(),
+                runtime.eventLog(),
+                runtime.monitor(),
+                draining::get));
+    fleet.start();
+    decisions.start();
+    reader.start();
+  }
+
+  private ConfigurationMark configurationMark() {
+    return configuration
+        .current()
+        .map(Document::generation)
+        .map(generation -> new ConfigurationMark(generation, decisions.keys().pendingWithdrawals()))
+        .orElse(ConfigurationMark.NONE);
+  }
+
+  private AdminServer createAdmin(ReadinessState readiness, Runnable onDrainRequest)
+      throws IOException {
+    Optional<Secret> secret = settings.adminListener().token();
+    Optional<String> token =
+        secret.isPresent() ? Optional.of(SecretReader.read(secret.get())) : Optional.empty();
+    return new AdminServer(
+        new AdminSettings(settings.adminListener().endpoint(), token),
+        List.of(
+            new AdminRoute("/v1/configuration", new ConfigurationReport(configuration)),
+            new AdminRoute("/v1/instances", new InstancesReport(decisions.instances())),
+            new AdminRoute("/v1/peers", new PeersReport(fleet.membership())),
+            new AdminRoute(
+                "/v1/work",
+                new WorkReport(decisions.engine()::inFlight, runtime.workers()::queued))),
+        readiness,
+        runtime.metrics(),
+        onDrainRequest,
+        runtime.workers());
+  }
+
+  /**
+   * Starts a process.
+   *
+   * @param settings settings of the VM
+   * @param eventLog receives events
+   * @param onDrainRequest called when an operator asks for a planned stop
+   * @return the running server, or why it cannot start
+   */
+  public static StartResult start(Settings settings, EventLog eventLog, Runnable onDrainRequest) {
+    try {
+      return new StartResult.Started(new ProxyServer(settings, eventLog, onDrainRequest));
+    } catch (IOException | GeneralSecurityException e) {
+      return new StartResult.Failed(e.getMessage() + "; correct the settings or free the address");
+    }
+  }
+
+  private static CallerServerSettings callerSettings(Settings settings) {
+    return new CallerServerSettings(
+        settings.callerListener().endpoint(),
+        CallerProtocol.valueOf(settings.callerListener().protocol().name()),
+        settings
+            .callerListener()
+            .tls()
+            .map(files -> new TlsFiles(files.certificate(), files.key())),
+        new BodyLimits(
+            settings.requests().maximumHeadBytes(),
+            settings.requests().bufferedBodyBytes(),
+            settings.requests().maximumBufferedBytes()));
+  }
+
+  /**
+   * Performs a planned stop and blocks until it has ended.
+   *
+   * @return how it ended
+   */
+  public ServerClosing stop() {
+    Deadline deadline = Deadline.after(runtime.clock(), settings.stop().drainDeadline());
+    draining.set(true);
+    runtime.eventLog().record(EventLog.Level.INFO, "drain_started");
+    pause(settings.stop().drainNotice());
+    boolean complete =
+        callers.closeGracefully(Duration.ofNanos(deadline.remainingNanos(runtime.clock())));
+    runtime
+        .eventLog()
+        .record(EventLog.Level.INFO, "drain_ended", LogField.of("complete", complete));
+    fleet.membership().depart();
+    decisions.close();
+    pause(DEPARTURE_TIME);
+    admin.close();
+    fleet.close();
+    connections.close();
+    platform.close();
+    runtime.close();
+    return complete ? ServerClosing.COMPLETE : ServerClosing.DEADLINE_PASSED;
+  }
+
+  private static void pause(Duration duration) {
+    try {
+      Thread.sleep(duration.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
