Add local and replicated ledgers of non-idempotent operations

Cause: a caller that repeats a booking at another VM must not run it twice. Change: LocalOperationLedger for one VM; ReplicatedOperationLedger with two holders in different failure domains. The horizon of a new view moves back only after every member has sent its records and its previous view; views with the same members are told apart by rounds. A fresh answer also needs the key to lie after the horizon for attempts that are already recorded, since another view may have run the key in between.

--- /dev/null
+++ b/kumquatvane-operations/src/main/java/org/kumquatvane/operations/FinishRecorded.java
@@ -0,0 +1,10 @@
+package org.kumquatvane.operations;
+
+import org.kumquatvane.core.PeerMessage;
+
+/**
+ * Acknowledges an {@link OperationFinish}.
+ *
+ * @param attempt the try
+ */
+public record FinishRecorded(AttemptId attempt) implements PeerMessage {}
--- /dev/null
+++ b/kumquatvane-operations/src/main/java/org/kumquatvane/operations/LocalOperationLedger.java
@@ -0,0 +1,130 @@
+package org.kumquatvane.operations;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.InvariantMonitor;
+import org.kumquatvane.core.LockRank;
+import org.kumquatvane.core.RankedLock;
+import org.kumquatvane.core.Scheduler;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.operations.internal.KeyTime;
+import org.kumquatvane.operations.internal.RecordTable;
+import org.kumquatvane.operations.internal.Verdicts;
+
+/** Ledger of a single VM: the rules of the records without messages or second holder. */
+public final class LocalOperationLedger implements OperationLedger {
+  private final RankedLock lock = new RankedLock(LockRank.OPERATIONS);
+  private final Clock clock;
+  private final Scheduler scheduler;
+  private final VmId self;
+  private final OperationSettings settings;
+  private final RecordTable records;
+  private final long horizonMillis;
+  private final Map<Operation, AttemptId> running = new HashMap<>();
+  private final Map<Operation, List<Waiter>> waiters = new HashMap<>();
+  private long attempts;
+
+  /**
+   * Creates an empty ledger. Keys made before the process started are unknown, since an earlier
+   * process may have run them.
+   *
+   * @param clock clock of deadlines and key times
+   * @param scheduler ends waits at their deadlines
+   * @param self this VM
+   * @param monitor receives violations
+   * @param settings bounds
+   */
+  public LocalOperationLedger(
+      Clock clock,
+      Scheduler scheduler,
+      VmId self,
+      InvariantMonitor monitor,
+      OperationSettings settings) {
+    this.clock = clock;
+    this.scheduler = scheduler;
+    this.self = self;
+    this.settings = settings;
+    records = new RecordTable(settings, monitor);
+    horizonMillis = clock.epochMillis() + 2 * settings.clockSkew().toMillis();
+  }
+
+  @Override
+  public void begin(Operation named, Deadline deadline, Consumer<BeginVerdict> verdict) {
+    Operation operation = KeyTime.canonical(named);
+    OptionalLong madeMillis = KeyTime.of(operation.idempotencyKey());
+    long nowMillis = clock.epochMillis();
+    if (madeMillis.isEmpty()
+        || madeMillis.getAsLong() > nowMillis + settings.clockSkew().toMillis()) {
+      verdict.accept(new BeginVerdict.KeyMalformed());
+      return;
+    }
+    Waiter waiter = new Waiter(deadline, verdict);
+    HolderAnswer answer =
+        lock.call(
+            () -> {
+              AttemptId attempt = new AttemptId(self, ++attempts);
+              HolderAnswer given = records.begin(operation, attempt, horizonMillis, nowMillis);
+              if (given instanceof HolderAnswer.Fresh) {
+                running.put(operation, attempt);
+              } else if (given instanceof HolderAnswer.InProgress) {
+                waiters.computeIfAbsent(operation, unused -> new ArrayList<>()).add(waiter);
+              }
+              return given;
+            });
+    if (answer instanceof HolderAnswer.InProgress) {
+      scheduler.schedule(deadline, () -> waitEnded(operation, waiter));
+    } else {
+      verdict.accept(Verdicts.of(answer));
+    }
+  }
+
+  private void waitEnded(Operation operation, Waiter waiter) {
+    boolean waiting =
+        lock.call(
+            () -> {
+              List<Waiter> others = waiters.getOrDefault(operation, new ArrayList<>());
+              boolean removed = others.remove(waiter);
+              if (others.isEmpty()) {
+                waiters.remove(operation);
+              }
+              return removed;
+            });
+    if (waiting) {
+      waiter.verdict.accept(new BeginVerdict.Unknown());
+    }
+  }
+
+  @Override
+  public void finish(Operation named, OperationResult result) {
+    Operation operation = KeyTime.canonical(named);
+    List<Waiter> released =
+        lock.call(
+            () -> {
+              AttemptId attempt = running.remove(operation);
+              if (attempt == null) {
+                return List.of();
+              }
+              records.finish(operation, attempt, result);
+              List<Waiter> waiting = waiters.remove(operation);
+              return waiting == null ? List.of() : waiting;
+            });
+    // Each asks again: after a run that did not happen one proceeds and the others wait for it.
+    released.forEach(waiter -> begin(operation, waiter.deadline, waiter.verdict));
+  }
+
+  private static final class Waiter {
+    private final Deadline deadline;
+    private final Consumer<BeginVerdict> verdict;
+
+    Waiter(Deadline deadline, Consumer<BeginVerdict> verdict) {
+      this.deadline = deadline;
+      this.verdict = verdict;
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-operations/src/main/java/org/kumquatvane/operations/internal/HolderTable.java
@@ -0,0 +1,263 @@
+package org.kumquatvane.operations.internal;
+
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.InvariantMonitor;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.membership.AgreedView;
+import org.kumquatvane.membership.Vm;
+import org.kumquatvane.operations.EndedView;
+import org.kumquatvane.operations.FinishRecorded;
+import org.kumquatvane.operations.HolderAnswer;
+import org.kumquatvane.operations.Operation;
+import org.kumquatvane.operations.OperationBegin;
+import org.kumquatvane.operations.OperationFinish;
+import org.kumquatvane.operations.OperationRecord;
+import org.kumquatvane.operations.OperationSettings;
+import org.kumquatvane.operations.OperationTransfer;
+import org.kumquatvane.operations.OperationVerdict;
+import org.kumquatvane.operations.TransferComplete;
+import org.kumquatvane.operations.TransferRequest;
+
+/** What this VM does as a holder of records. Guarded by the ledger's lock. */
+public final class HolderTable {
+  private static final long SHORTEST_TRANSFER_WAIT_NANOS = 100_000_000L;
+  private static final int LONGEST_BACKOFF = 5;
+
+  /** All members ask at about the same time, so the plan is needed only briefly. */
+  private static final long PLAN_KEPT_NANOS = 1_000_000_000L;
+
+  private final VmId self;
+  private final OperationSettings settings;
+  private final RecordTable records;
+  private final long startedMillis;
+  private int maximumVmCount = Integer.MAX_VALUE;
+  private @Nullable ViewEra era;
+  private @Nullable EndedView previous;
+  private @Nullable TransferPlan plan;
+  private long lastRound;
+  private long eraNumber;
+
+  /**
+   * Creates a table without records or view.
+   *
+   * @param self this VM
+   * @param settings bounds
+   * @param monitor receives violations
+   * @param startedMillis wall-clock time of the start of the process
+   */
+  public HolderTable(
+      VmId self, OperationSettings settings, InvariantMonitor monitor, long startedMillis) {
+    this.self = self;
+    this.settings = settings;
+    this.startedMillis = startedMillis;
+    records = new RecordTable(settings, monitor);
+  }
+
+  /**
+   * Applies the document's bound on VM processes.
+   *
+   * @param count most VM processes alive at once
+   */
+  public void setMaximumVmCount(int count) {
+    maximumVmCount = count;
+  }
+
+  /**
+   * Follows the agreed view; every step begins with it.
+   *
+   * @param view the view in force, or empty
+   * @param nowNanos monotonic time
+   * @param outbox receives messages
+   */
+  public void observe(Optional<AgreedView> view, long nowNanos, Outbox outbox) {
+    ViewEra current = era;
+    if (current != null && (view.isEmpty() || !current.continuesWith(view.get(), nowNanos))) {
+      endEra();
+    }
+    if (era == null
+        && view.isPresent()
+        && view.get().validUntil().nanos() - nowNanos > 0
+        && view.get().contains(self)) {
+      ViewEra next =
+          new ViewEra(view.get(), previous, outbox.epochMillis(), settings.clockSkew().toMillis());
+      era = next;
+      eraNumber++;
+      requestTransfers(next, 0, outbox);
+    }
+  }
+
+  /** Ends the current era, as after a pause; the next one needs all records again. */
+  public void endEra() {
+    ViewEra current = era;
+    if (current != null) {
+      previous = current.ended(records.evictedMillis());
+      era = null;
+      plan = null;
+    }
+  }
+
+  private void requestTransfers(ViewEra current, int tries, Outbox outbox) {
+    if (current != era || current.isSettled()) {
+      return;
+    }
+    for (VmId member : current.waitingFor()) {
+      long round = ++lastRound;
+      current.startRound(member, round);
+      outbox.send(member, new TransferRequest(current.view().digest(), round));
+    }
+    long waitNanos = SHORTEST_TRANSFER_WAIT_NANOS << Math.min(tries, LONGEST_BACKOFF);
+    outbox.in(waitNanos, later -> requestTransfers(current, tries + 1, later));
+  }
+
+  /**
+   * Returns the view under which holders are chosen.
+   *
+   * @return the view, or null
+   */
+  public @Nullable AgreedView view() {
+    return era == null ? null : era.view();
+  }
+
+  /**
+   * Returns the number of the uninterrupted time under the view.
+   *
+   * @return a number that rises with each gap
+   */
+  public long eraNumber() {
+    return eraNumber;
+  }
+
+  /**
+   * Answers whether an operation may run, unless this VM cannot know yet.
+   *
+   * @param coordinator the sender
+   * @param begin its message
+   * @param outbox receives the answer
+   */
+  public void begin(VmId coordinator, OperationBegin begin, Outbox outbox) {
+    ViewEra current = era;
+    if (current == null
+        || current.view().digest() != begin.viewDigest()
+        || !Holders.of(begin.operation(), current.view().members()).contains(self)) {
+      return;
+    }
+    HolderAnswer answer =
+        records.begin(
+            begin.operation(), begin.attempt(), current.horizonMillis(), outbox.epochMillis());
+    if (answer instanceof HolderAnswer.Unknown && !current.isSettled()) {
+      // The records of the previous holders may still arrive; the coordinator asks again.
+      return;
+    }
+    outbox.send(coordinator, new OperationVerdict(begin.attempt(), begin.viewDigest(), answer));
+  }
+
+  /**
+   * Records how an attempt ended.
+   *
+   * @param coordinator the sender
+   * @param finish its message
+   * @param outbox receives the acknowledgement
+   */
+  public void finish(VmId coordinator, OperationFinish finish, Outbox outbox) {
+    records.finish(finish.operation(), finish.attempt(), finish.result());
+    outbox.send(coordinator, new FinishRecorded(finish.attempt()));
+  }
+
+  /**
+   * Sends a member of the same view the records that it holds.
+   *
+   * @param member the sender
+   * @param request its request
+   * @param outbox receives the records
+   */
+  public void transferRequested(VmId member, TransferRequest request, Outbox outbox) {
+    ViewEra current = era;
+    if (current == null || current.view().digest() != request.viewDigest()) {
+      return;
+    }
+    TransferPlan planned = plan;
+    if (planned == null) {
+      planned = new TransferPlan(records.records(), current.view().members());
+      plan = planned;
+      outbox.in(PLAN_KEPT_NANOS, later -> plan = null);
+    }
+    List<List<OperationRecord>> parts = planned.partsFor(member);
+    for (int part = 0; part < parts.size(); part++) {
+      outbox.send(member, new OperationTransfer(request.round(), part, parts.get(part)));
+    }
+    outbox.send(
+        member,
+        new TransferComplete(
+            request.round(),
+            parts.size(),
+            current.previous(),
+            Math.max(current.horizonMillis(), records.evictedMillis()),
+            startedMillis));
+  }
+
+  /**
+   * Merges records of another holder.
+   *
+   * @param sender the holder
+   * @param transfer its records
+   */
+  public void transferred(VmId sender, OperationTransfer transfer) {
+    transfer.records().forEach(records::merge);
+    if (era != null) {
+      era.received(sender, transfer, maximumVmCount);
+    }
+  }
+
+  /**
+   * Notes that another holder has sent all its records.
+   *
+   * @param sender the holder
+   * @param statement what it would have known
+   */
+  public void transferCompleted(VmId sender, TransferComplete statement) {
+    if (era != null) {
+      era.complete(sender, statement, maximumVmCount);
+    }
+  }
+
+  /**
+   * Sends all records to the VMs that hold them once this VM has left.
+   *
+   * @param outbox receives the records
+   */
+  public void handOver(Outbox outbox) {
+    ViewEra current = era;
+    if (current == null) {
+      return;
+    }
+    List<Vm> remaining =
+        current.view().members().stream().filter(vm -> !vm.id().equals(self)).toList();
+    TransferPlan leaving = new TransferPlan(records.records(), remaining);
+    for (Vm vm : remaining) {
+      leaving
+          .partsFor(vm.id())
+          .forEach(part -> outbox.send(vm.id(), new OperationTransfer(0, 0, part)));
+    }
+  }
+
+  /**
+   * Returns the holders of an operation under the current view.
+   *
+   * @param operation the operation
+   * @return their names, empty without a view
+   */
+  public List<VmId> holders(Operation operation) {
+    return era == null ? List.of() : Holders.of(operation, era.view().members());
+  }
+
+  /**
+   * Returns the number of records.
+   *
+   * @return number of records
+   */
+  public int size() {
+    return records.size();
+  }
+}
--- /dev/null
+++ b/kumquatvane-operations/src/main/java/org/kumquatvane/operations/internal/RecordTable.java
@@ -0,0 +1,205 @@
+package org.kumquatvane.operations.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.Invariant;
+import org.kumquatvane.core.InvariantMonitor;
+import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.operations.AttemptId;
+import org.kumquatvane.operations.HolderAnswer;
+import org.kumquatvane.operations.Operation;
+import org.kumquatvane.operations.OperationRecord;
+import org.kumquatvane.operations.OperationResult;
+import org.kumquatvane.operations.OperationSettings;
+
+/**
+ * Records of operations in the order of their keys' times. Not thread-safe.
+ *
+ * <p>An evicted record turns its key, and every key with an earlier time, into unknown.
+ */
+public final class RecordTable {
+  private final TreeMap<Key, Entry> entries =
+      new TreeMap<>(
+          Comparator.comparingLong(Key::millis)
+              .thenComparing(Key::workspace)
+              .thenComparing(Key::text));
+  private final OperationSettings settings;
+  private final InvariantMonitor monitor;
+  private long evictedMillis = Long.MIN_VALUE;
+
+  /**
+   * Creates an empty table.
+   *
+   * @param settings bounds
+   * @param monitor receives violations
+   */
+  public RecordTable(OperationSettings settings, InvariantMonitor monitor) {
+    this.settings = settings;
+    this.monitor = monitor;
+  }
+
+  /**
+   * Judges an attempt and records it as in progress if it is fresh.
+   *
+   * @param operation the operation
+   * @param attempt the attempt
+   * @param horizonMillis keys with a later time would be known; others without record are unknown
+   * @param nowMillis wall-clock time
+   * @return the answer
+   */
+  public HolderAnswer begin(
+      Operation operation, AttemptId attempt, long horizonMillis, long nowMillis) {
+    evict(nowMillis);
+    Key key = key(operation);
+    Entry entry = entries.get(key);
+    HolderAnswer known = entry == null ? null : entry.known(operation, attempt);
+    if (known != null) {
+      return known;
+    }
+    // Also asked of a recorded attempt: since it was recorded, another one may have run elsewhere.
+    if (key.millis <= Math.max(horizonMillis, evictedMillis)) {
+      return new HolderAnswer.Unknown();
+    }
+    entries.computeIfAbsent(key, unused -> new Entry(operation)).grant(operation, attempt, monitor);
+    return new HolderAnswer.Fresh();
+  }
+
+  /**
+   * Records how an attempt ended.
+   *
+   * @param operation the operation
+   * @param attempt the attempt
+   * @param result how it ended
+   */
+  public void finish(Operation operation, AttemptId attempt, OperationResult result) {
+    Key key = key(operation);
+    if (key.millis > evictedMillis) {
+      Entry entry = entries.computeIfAbsent(key, unused -> new Entry(operation));
+      entry.open.remove(attempt);
+      entry.ended.add(attempt);
+      entry.learn(result);
+    }
+  }
+
+  /**
+   * Adds what another holder knows.
+   *
+   * @param record its record
+   */
+  public void merge(OperationRecord record) {
+    Key key = key(record.operation());
+    if (key.millis > evictedMillis) {
+      entries.computeIfAbsent(key, unused -> new Entry(record.operation())).merge(record);
+    }
+  }
+
+  /**
+   * Returns all records.
+   *
+   * @return copies, the oldest key first
+   */
+  public List<OperationRecord> records() {
+    List<OperationRecord> records = new ArrayList<>(entries.size());
+    entries.values().forEach(entry -> records.add(entry.record()));
+    return records;
+  }
+
+  /**
+   * Forgets records beyond the retention time and the maximum count.
+   *
+   * @param nowMillis wall-clock time
+   */
+  public void evict(long nowMillis) {
+    evictedMillis = Math.max(evictedMillis, nowMillis - settings.retention().toMillis());
+    while (!entries.isEmpty()
+        && (entries.size() > settings.maximumRecords()
+            || entries.firstKey().millis <= evictedMillis)) {
+      evictedMillis = Math.max(evictedMillis, entries.pollFirstEntry().getKey().millis);
+    }
+  }
+
+  /**
+   * Returns the latest key time whose record may have been forgotten.
+   *
+   * @return milliseconds since the Unix epoch
+   */
+  public long evictedMillis() {
+    return evictedMillis;
+  }
+
+  /**
+   * Returns the number of records.
+   *
+   * @return number of records
+   */
+  public int size() {
+    return entries.size();
+  }
+
+  private static Key key(Operation operation) {
+    String text = operation.idempotencyKey();
+    return new Key(KeyTime.of(text).orElse(Long.MIN_VALUE), operation.workspace(), text);
+  }
+
+  private record Key(long millis, WorkspaceId workspace, String text) {}
+
+  private static final class Entry {
+    private Operation operation;
+    private final Set<AttemptId> open = new HashSet<>(2);
+    private final Set<AttemptId> ended = new HashSet<>(2);
+    private @Nullable OperationResult result;
+
+    Entry(Operation operation) {
+      this.operation = operation;
+    }
+
+    /** Returns what forbids a run, or null. */
+    @Nullable HolderAnswer known(Operation asked, AttemptId attempt) {
+      OperationResult known = result;
+      boolean used = known != null || !open.isEmpty();
+      if (used && !asked.requestDigest().equals(operation.requestDigest())) {
+        return new HolderAnswer.Conflict();
+      }
+      if (known != null) {
+        return new HolderAnswer.Ended(known);
+      }
+      boolean otherIsOpen = used && !open.equals(Set.of(attempt));
+      return otherIsOpen || ended.contains(attempt) ? new HolderAnswer.InProgress() : null;
+    }
+
+    void grant(Operation granted, AttemptId attempt, InvariantMonitor monitor) {
+      operation = granted;
+      open.add(attempt);
+      monitor.check(
+          Invariant.OPERATION_AT_MOST_ONCE,
+          open.size() == 1 && result == null,
+          "workspace=" + operation.workspace() + " fresh twice: " + open);
+    }
+
+    void learn(@Nullable OperationResult learned) {
+      boolean hasRun = learned != null && !(learned instanceof OperationResult.NotRun);
+      if (hasRun && (result == null || result instanceof OperationResult.Unknown)) {
+        result = learned;
+      }
+    }
+
+    void merge(OperationRecord record) {
+      ended.addAll(record.ended());
+      open.addAll(record.open());
+      open.removeAll(ended);
+      if (result == null && record.result() != null) {
+        operation = record.operation();
+      }
+      learn(record.result());
+    }
+
+    OperationRecord record() {
+      return new OperationRecord(operation, open, ended, result);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-operations/src/test/java/org/kumquatvane/operations/AtMostOnceTest.java
@@ -0,0 +1,143 @@
+package org.kumquatvane.operations;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.kumquatvane.core.VmId;
+
+/**
+ * Guards against a second run of an operation when its caller repeats the key at several VMs while
+ * messages are lost, doubled or late, VMs pause, die or are replaced, and views change. {@code
+ * -Dkumquatvane.seeds=<n>} runs more seeds.
+ */
+final class AtMostOnceTest {
+  private static final int MAXIMUM_VM_COUNT = 9;
+  private static final int VM_COUNT = 7;
+  private static final int KEPT_KEYS = 60;
+  private static final OperationSettings SETTINGS =
+      new OperationSettings(Duration.ofSeconds(60), 300, Duration.ofSeconds(2));
+
+  static LongStream seeds() {
+    return LongStream.rangeClosed(1, Integer.getInteger("kumquatvane.seeds", 10));
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noSecondRunUnderFaults(long seed) {
+    OperationFleet fleet = fleet(seed);
+    List<String> keys = new ArrayList<>();
+    List<VmId> paused = new ArrayList<>();
+    List<VmId[]> blocked = new ArrayList<>();
+    for (int step = 0; step < 12_000; step++) {
+      requests(fleet, keys);
+      if (fleet.random.nextInt(150) == 0) {
+        fault(fleet, paused, blocked);
+      }
+      fleet.scheduler.advance(Duration.ofMillis(10));
+    }
+    assertNoSecondRun(fleet, seed);
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noSecondRunWhenEveryVmIsReplaced(long seed) {
+    OperationFleet fleet = fleet(seed);
+    List<String> keys = new ArrayList<>();
+    for (Map.Entry<VmId, ReplicatedOperationLedger> each :
+        new TreeMap<>(fleet.ledgers).entrySet()) {
+      if (fleet.random.nextBoolean()) {
+        each.getValue().handOver();
+      }
+      fleet.kill(each.getKey());
+      fleet.start();
+      fleet.wantAll();
+      int pace = 1 + fleet.random.nextInt(1_200);
+      for (int step = 0; step < pace; step++) {
+        requests(fleet, keys);
+        fleet.scheduler.advance(Duration.ofMillis(10));
+      }
+    }
+    assertNoSecondRun(fleet, seed);
+  }
+
+  private static OperationFleet fleet(long seed) {
+    OperationFleet fleet = new OperationFleet(seed, MAXIMUM_VM_COUNT, SETTINGS);
+    for (int i = 0; i < VM_COUNT; i++) {
+      fleet.start();
+    }
+    fleet.wantAll();
+    fleet.scheduler.advance(Duration.ofSeconds(8));
+    return fleet;
+  }
+
+  private static void requests(OperationFleet fleet, List<String> keys) {
+    if (fleet.random.nextInt(10) == 0) {
+      keys.add(fleet.newKey());
+      if (keys.size() > KEPT_KEYS) {
+        keys.remove(0);
+      }
+    }
+    if (!keys.isEmpty() && fleet.random.nextInt(3) == 0) {
+      // Most repeats follow closely on the first request.
+      int age = Math.min(fleet.random.nextInt(KEPT_KEYS), fleet.random.nextInt(KEPT_KEYS));
+      String key = keys.get(Math.max(0, keys.size() - 1 - age));
+      fleet.request(
+          fleet.anyVm(), key, Duration.ofMillis(fleet.random.nextInt(3_000)), verdict -> {});
+    }
+  }
+
+  private static void fault(OperationFleet fleet, List<VmId> paused, List<VmId[]> blocked) {
+    paused.removeIf(vm -> !fleet.ledgers.containsKey(vm));
+    switch (fleet.random.nextInt(8)) {
+      case 0 -> {
+        VmId vm = fleet.anyVm();
+        fleet.vms.pause(vm);
+        paused.add(vm);
+      }
+      case 1, 2 -> {
+        if (!paused.isEmpty()) {
+          fleet.vms.resume(paused.remove(0));
+        }
+      }
+      case 3 -> {
+        fleet.kill(fleet.anyVm());
+        fleet.start();
+        fleet.wantAll();
+      }
+      case 4 -> {
+        TreeSet<VmId> members = new TreeSet<>(fleet.vms.alive());
+        members.removeIf(vm -> fleet.random.nextInt(4) == 0 || paused.contains(vm));
+        fleet.vms.wantView(members);
+      }
+      case 5 -> {
+        VmId[] direction = {fleet.anyVm(), fleet.anyVm()};
+        blocked.add(direction);
+        fleet.network.setBlocked(direction[0], direction[1], true);
+      }
+      case 6 -> {
+        blocked.forEach(pair -> fleet.network.setBlocked(pair[0], pair[1], false));
+        blocked.clear();
+        fleet.wantAll();
+      }
+      default -> {
+        fleet.network.setFaults(fleet.random.nextDouble() * 0.2, fleet.random.nextDouble() * 0.3);
+        fleet.network.setDelay(
+            Duration.ofMillis(1), Duration.ofMillis(1 + fleet.random.nextInt(400)));
+      }
+    }
+  }
+
+  private static void assertNoSecondRun(OperationFleet fleet, long seed) {
+    assertTrue(fleet.runs.size() > 20, "seed " + seed + ": hardly anything ran");
+    assertEquals(0, fleet.secondRuns(), "seed " + seed + ": second runs");
+  }
+}
