Give up hanging attempts early, refuse unreachable deadlines, choose without copying

Cause: an instance that hangs used up the caller's whole time; a queue accepted requests that could not end in time; each choice of an instance copied the instance list and took the health lock once for each instance; instances of a VM's first list but the first one counted as cold; requests refused in the queue earned retries.

--- a/kumquatvane-admission/src/main/java/org/kumquatvane/admission/internal/ServiceQueue.java
+++ b/kumquatvane-admission/src/main/java/org/kumquatvane/admission/internal/ServiceQueue.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.admission.WaitingRequest;
 import org.kumquatvane.core.Clock;
@@ -22,10 +23,25 @@
 public final class ServiceQueue {
   private static final QueuePolicy CLOSED = new QueuePolicy(0, 0);
 
+  /** Accounts kept before those without requests are looked through. */
+  private static final int ACCOUNTS_BEFORE_PRUNING = 64;
+
   private final Map<WorkspaceId, Account> accounts = new HashMap<>();
+
+  /** Accounts with waiting requests, the one with the least slot time first. */
+  private final TreeSet<Account> queued =
+      new TreeSet<>(
+          Comparator.<Account>comparingLong(account -> account.usedNanos)
+              .thenComparingLong(account -> account.sequence));
+
   private QueuePolicy policy = CLOSED;
   private long virtualTime;
+  private long nextSequence;
+  private long typicalNanos = Account.INITIAL_TYPICAL_NANOS;
+  private boolean hasTypical;
+  private int pruneAt = ACCOUNTS_BEFORE_PRUNING;
   private int waiting;
+  private int running;
 
   /**
    * Sets the limits; requests that wait already stay.
@@ -52,15 +68,38 @@
         || account.requests.size() >= policy.maximumWaitingPerWorkspace()) {
       return Optional.of(Reason.QUEUE_FULL);
     }
+    if (expectedEndNanos(account) > request.deadline().remainingNanos(clock)) {
+      return Optional.of(Reason.DEADLINE_UNREACHABLE);
+    }
     if (account.requests.isEmpty()) {
       // An idle workspace may not save up slot time and then lock out the others.
       account.usedNanos = Math.max(account.usedNanos, virtualTime);
+      queued.add(account);
     }
     account.requests.addLast(request);
     waiting++;
     return Optional.empty();
   }
 
+  /**
+   * Returns the time from now at which a further request of a workspace is expected to end at the
+   * earliest: the work that the fair order puts before it, divided by the slots that this VM has
+   * held lately, and half of a usual slot time for the request itself, which may be a short one.
+   * Without waiting requests a slot may be free, so that only the request itself counts.
+   */
+  private long expectedEndNanos(Account account) {
+    if (!hasTypical) {
+      return 0;
+    }
+    long work = 0;
+    int turns = account.requests.size() + 1;
+    for (Account other : queued) {
+      int before = other == account ? turns - 1 : Math.min(turns, other.requests.size());
+      work += before * other.typicalNanos;
+    }
+    return work / Math.max(1, running) + account.typicalNanos / 2;
+  }
+
   /**
    * Removes the next request.
    *
@@ -69,23 +108,27 @@
    * @return the request, or empty
    */
   public Optional<WaitingRequest> next(Clock clock, List<WaitingRequest> expired) {
-    while (waiting > 0) {
-      Account account =
-          accounts.values().stream()
-              .filter(candidate -> !candidate.requests.isEmpty())
-              .min(Comparator.comparingLong(candidate -> candidate.usedNanos))
-              .orElseThrow();
+    while (!queued.isEmpty()) {
+      Account account = queued.first();
+      queued.remove(account);
       WaitingRequest request = account.requests.removeFirst();
       waiting--;
-      if (request.deadline().isReached(clock)) {
+      boolean isExpired = request.deadline().isReached(clock);
+      if (isExpired) {
         expired.add(request);
-        continue;
+      } else {
+        virtualTime = Math.max(virtualTime, account.usedNanos);
+        // Charged provisionally, so that several free slots do not all go to one workspace.
+        account.usedNanos += account.typicalNanos;
+        account.provisional++;
+        running++;
+      }
+      if (!account.requests.isEmpty()) {
+        queued.add(account);
+      }
+      if (!isExpired) {
+        return Optional.of(request);
       }
-      virtualTime = Math.max(virtualTime, account.usedNanos);
-      // Charged provisionally, so that several free slots do not all go to one workspace.
-      account.usedNanos += account.typicalNanos;
-      account.provisional++;
-      return Optional.of(request);
     }
     return Optional.empty();
   }
@@ -105,6 +148,9 @@
       if (iterator.next() == request) {
         iterator.remove();
         waiting--;
+        if (account.requests.isEmpty()) {
+          queued.remove(account);
+        }
         return true;
       }
     }
@@ -122,10 +168,20 @@
     long provisional = 0;
     if (account.provisional > 0) {
       account.provisional--;
+      running--;
       provisional = account.typicalNanos;
     }
+    boolean isQueued = !account.requests.isEmpty();
+    if (isQueued) {
+      queued.remove(account);
+    }
     account.usedNanos += slotNanos - provisional;
     account.typicalNanos += (slotNanos - account.typicalNanos) / Account.SMOOTHING;
+    typicalNanos += (slotNanos - typicalNanos) / Account.SMOOTHING;
+    hasTypical = true;
+    if (isQueued) {
+      queued.add(account);
+    }
   }
 
   /**
@@ -138,7 +194,26 @@
   }
 
   private Account account(WorkspaceId workspace) {
-    return accounts.computeIfAbsent(workspace, unused -> new Account(virtualTime));
+    @Nullable Account known = accounts.get(workspace);
+    if (known != null) {
+      return known;
+    }
+    if (accounts.size() >= pruneAt) {
+      accounts.values().removeIf(Account::isIdle);
+      pruneAt = Math.max(ACCOUNTS_BEFORE_PRUNING, 2 * accounts.size());
+    }
+    Account created = new Account(virtualTime, typicalNanos, nextSequence++);
+    accounts.put(workspace, created);
+    return created;
+  }
+
+  /**
+   * Returns how many workspaces have an account.
+   *
+   * @return accounts, at most about twice the workspaces with requests that wait or run
+   */
+  public int accounts() {
+    return accounts.size();
   }
 
   private static final class Account {
@@ -148,12 +223,19 @@
     private static final long INITIAL_TYPICAL_NANOS = 10_000_000;
 
     private final Deque<WaitingRequest> requests = new ArrayDeque<>();
+    private final long sequence;
     private long usedNanos;
-    private long typicalNanos = INITIAL_TYPICAL_NANOS;
+    private long typicalNanos;
     private int provisional;
 
-    private Account(long usedNanos) {
+    private Account(long usedNanos, long typicalNanos, long sequence) {
       this.usedNanos = usedNanos;
+      this.typicalNanos = typicalNanos;
+      this.sequence = sequence;
+    }
+
+    private boolean isIdle() {
+      return requests.isEmpty() && provisional == 0;
     }
   }
 }
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/InstanceHealth.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/InstanceHealth.java
@@ -31,4 +31,14 @@
    * @param instance the instance
    */
   default void instanceLeaving(ServiceName service, InstanceId instance) {}
+
+  /**
+   * Tells whether any instance of a service may be ejected. Takes no lock.
+   *
+   * @param service the service
+   * @return false only if every instance is eligible
+   */
+  default boolean hasEjections(ServiceName service) {
+    return true;
+  }
 }
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/NoEjection.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/NoEjection.java
@@ -10,6 +10,11 @@
     return Eligibility.ELIGIBLE;
   }
 
+  @Override
+  public boolean hasEjections(ServiceName service) {
+    return false;
+  }
+
   @Override
   public void observe(ServiceName service, InstanceId instance, Observation observation) {}
 }
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/PeerComparisonHealth.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/PeerComparisonHealth.java
@@ -181,6 +181,11 @@
     return view == null ? Eligibility.ELIGIBLE : view.eligibility(clock);
   }
 
+  @Override
+  public boolean hasEjections(ServiceName service) {
+    return views.containsKey(service);
+  }
+
   @Override
   public void observe(ServiceName service, InstanceId instance, Observation observation) {
     change(
--- a/kumquatvane-ejection/src/test/java/org/kumquatvane/ejection/PeerComparisonHealthTest.java
+++ b/kumquatvane-ejection/src/test/java/org/kumquatvane/ejection/PeerComparisonHealthTest.java
@@ -113,6 +113,8 @@
         7,
         20,
         (vm, instance) -> fleet.answer(instance < 5 ? 1 : 10));
+    // What was seen during the warm-up must not count once it is over.
+    fleet.run(Duration.ofSeconds(5), 7, 20, (vm, instance) -> fleet.answer(1));
     assertEquals(0, fleet.ejections());
   }
 
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/EngineDependencies.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/EngineDependencies.java
@@ -12,6 +12,7 @@
 import org.kumquatvane.keys.KeyTable;
 import org.kumquatvane.limits.RateLimiter;
 import org.kumquatvane.operations.OperationLedger;
+import org.kumquatvane.retries.AttemptDeadlinePolicy;
 import org.kumquatvane.retries.RetryPolicy;
 import org.kumquatvane.routing.RouteTable;
 import org.kumquatvane.selection.InstancePool;
@@ -31,6 +32,7 @@
  * @param health judges instances
  * @param crashGuard recognises requests that end instances
  * @param retries decides about retries
+ * @param attemptDeadlines decides when another instance is tried instead of a hanging one
  * @param connectionShare divides connections between VMs
  * @param counters counts reasons
  * @param eventLog logs events
@@ -49,6 +51,7 @@
     InstanceHealth health,
     CrashGuard crashGuard,
     RetryPolicy retries,
+    AttemptDeadlinePolicy attemptDeadlines,
     ConnectionShare connectionShare,
     Counters counters,
     EventLog eventLog,
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.ejection.Observation;
 import org.kumquatvane.engine.AnswerHead;
@@ -17,6 +18,7 @@
 import org.kumquatvane.engine.Exchange;
 import org.kumquatvane.operations.OperationResult;
 import org.kumquatvane.operations.RecordedAnswer;
+import org.kumquatvane.retries.RetryDecision;
 import org.kumquatvane.selection.Reservation;
 
 /** One attempt: holds a slot from its start until its answer has been delivered or has failed. */
@@ -47,7 +49,11 @@
 
   void start(Exchange exchange, boolean captureAnswer) {
     recorded = captureAnswer;
-    deadlineTask = dependencies.scheduler().schedule(request.deadline(), this::deadlinePassed);
+    Deadline early = flow.attemptDeadline();
+    deadlineTask =
+        early.compareTo(request.deadline()) < 0
+            ? dependencies.scheduler().schedule(early, this::earlyDeadlinePassed)
+            : dependencies.scheduler().schedule(request.deadline(), this::deadlinePassed);
     Attempt started =
         exchange.attempt(
             new AttemptPlan(
@@ -65,6 +71,25 @@
     }
   }
 
+  /** Tries another instance if the retry policy allows it; otherwise this attempt goes on. */
+  private void earlyDeadlinePassed() {
+    if (headSettled.get()) {
+      return;
+    }
+    Optional<RetryDecision.Retry> retry = flow.retryInstead(AttemptFailure.TIMED_OUT);
+    if (retry.isEmpty()) {
+      deadlineTask = dependencies.scheduler().schedule(request.deadline(), this::deadlinePassed);
+      if (headSettled.get()) {
+        cancelDeadline();
+      }
+    } else if (headSettled.compareAndSet(false, true)) {
+      cancelAttempt();
+      observe(Observation.Kind.TIMED_OUT);
+      releaseSlot();
+      flow.attemptDropped(AttemptFailure.TIMED_OUT, retry.get());
+    }
+  }
+
   private void deadlinePassed() {
     if (headSettled.compareAndSet(false, true)) {
       cancelAttempt();
@@ -117,10 +142,21 @@
       return;
     }
     observe(head.isServerError() ? Observation.Kind.SERVER_ERROR : Observation.Kind.SUCCESS);
-    if (head.isServerError() && flow.retryInstead(AttemptFailure.SERVER_ERROR)) {
-      running.discardAnswer();
-      releaseSlot();
-      return;
+    flow.answeredBy(reservation.instance().id());
+    if (head.isServerError()) {
+      Optional<RetryDecision.Retry> retry = flow.retryInstead(AttemptFailure.SERVER_ERROR);
+      if (retry.isPresent()) {
+        running.discardAnswer();
+        releaseSlot();
+        flow.attemptDropped(AttemptFailure.SERVER_ERROR, retry.get());
+        return;
+      }
+    } else {
+      dependencies
+          .attemptDeadlines()
+          .answered(
+              request.route().id(),
+              Duration.ofNanos(dependencies.clock().monotonicNanos() - startedNanos));
     }
     running.deliver(flow.attemptsMade(), this);
   }
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -25,6 +25,7 @@
 import org.kumquatvane.operations.BeginVerdict;
 import org.kumquatvane.operations.Operation;
 import org.kumquatvane.operations.OperationResult;
+import org.kumquatvane.retries.AttemptContext;
 import org.kumquatvane.retries.RetryContext;
 import org.kumquatvane.retries.RetryDecision;
 import org.kumquatvane.selection.Reservation;
@@ -89,7 +90,6 @@
 
   private void rateDecided(LimitDecision decision) {
     if (decision instanceof LimitDecision.Admitted) {
-      dependencies.retries().requestStarted(request.service().name());
       recordOperation();
     } else if (decision instanceof LimitDecision.RateLimited limited) {
       refuse(
@@ -207,6 +207,12 @@
             request.route().idempotent() || !mayHaveRun,
             "request=" + request.head().id() + " attempts=" + attemptsMade);
     attemptsMade++;
+    if (attemptsMade == 1) {
+      // Only requests that reach an instance earn retries; refused ones add no capacity.
+      dependencies.retries().requestStarted(request.service().name());
+      dependencies.counters().add("attempts.logical_requests", 1);
+    }
+    dependencies.counters().add("attempts.started", 1);
     tried.add(reservation.instance().id());
     AttemptStep step = new AttemptStep(this, dependencies, request, reservation);
     current = step;
@@ -234,15 +240,37 @@
     dispatcher.dispatch(request.service().name());
   }
 
-  /** Decides whether an answer with a server error is dropped for another attempt. */
-  boolean retryInstead(AttemptFailure failure) {
-    if (callerLeft || !(decideRetry(failure) instanceof RetryDecision.Retry retry)) {
-      return false;
-    }
+  /** Decides whether an attempt that may still be answered is dropped for another one. */
+  Optional<RetryDecision.Retry> retryInstead(AttemptFailure failure) {
+    return !callerLeft && decideRetry(failure) instanceof RetryDecision.Retry retry
+        ? Optional.of(retry)
+        : Optional.empty();
+  }
+
+  /** Makes another attempt after one that was dropped; its slot has been given back. */
+  void attemptDropped(AttemptFailure failure, RetryDecision.Retry retry) {
     mayHaveRun |= !failure.isKnownNotRun();
     dependencies.counters().count(retry.reason());
     dependencies.scheduler().schedule(retry.notBefore(), this::retry);
-    return true;
+    dispatcher.dispatch(request.service().name());
+  }
+
+  /** Returns when another instance is to be tried although the current one may still answer. */
+  Deadline attemptDeadline() {
+    return dependencies
+        .attemptDeadlines()
+        .attemptDeadline(
+            new AttemptContext(
+                request.service(),
+                request.route().id(),
+                request.route().idempotent() && body.repeatable(),
+                attemptsMade,
+                request.deadline()));
+  }
+
+  /** Takes note of an instance that answered and so was not ended by the request. */
+  void answeredBy(InstanceId instance) {
+    dependencies.crashGuard().answered(fingerprint, instance);
   }
 
   private RetryDecision decideRetry(AttemptFailure failure) {
--- /dev/null
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/AttemptContext.java
@@ -0,0 +1,17 @@
+package org.kumquatvane.retries;
+
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.RouteId;
+import org.kumquatvane.document.Service;
+
+/**
+ * What is known when an attempt starts.
+ *
+ * @param service the service and its settings
+ * @param route the route
+ * @param repeatable whether the request is idempotent and its whole body at hand
+ * @param attempt number of this attempt, 1 for the first
+ * @param deadline when the caller stops waiting
+ */
+public record AttemptContext(
+    Service service, RouteId route, boolean repeatable, int attempt, Deadline deadline) {}
--- /dev/null
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/ObservedLatencyDeadline.java
@@ -0,0 +1,102 @@
+package org.kumquatvane.retries;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.LockRank;
+import org.kumquatvane.core.RankedLock;
+import org.kumquatvane.core.RouteId;
+
+/**
+ * Gives up attempts of repeatable requests after a multiple of the route's 99th percentile of
+ * latency, twice as late with each further attempt; the last attempt has the rest of the time.
+ *
+ * <p>Whether another attempt is made then is up to the retry policy and its budget. Only answers
+ * move the percentile: hanging attempts would raise it without bound.
+ */
+public final class ObservedLatencyDeadline implements AttemptDeadlinePolicy {
+  /** Attempts slower than twice the 99th percentile are rarely answered soon after. */
+  private static final double MULTIPLE = 2;
+
+  private static final Duration SHORTEST = Duration.ofMillis(20);
+
+  /** Routes that are tracked; the document may have more, of which few are in use on one VM. */
+  private static final int MAXIMUM_ROUTES = 10_000;
+
+  private final RankedLock lock = new RankedLock(LockRank.RETRIES);
+  private final Clock clock;
+  private final Map<RouteId, Percentile> percentiles = new HashMap<>();
+
+  /**
+   * Creates a policy that has seen no answer.
+   *
+   * @param clock clock of the deadlines
+   */
+  public ObservedLatencyDeadline(Clock clock) {
+    this.clock = clock;
+  }
+
+  @Override
+  public Deadline attemptDeadline(AttemptContext context) {
+    if (!context.repeatable() || context.attempt() >= context.service().retry().maximumAttempts()) {
+      return context.deadline();
+    }
+    double nanos = lock.call(() -> estimate(context.route()));
+    if (nanos <= 0) {
+      return context.deadline();
+    }
+    long allowed =
+        Math.max(SHORTEST.toNanos(), (long) (MULTIPLE * nanos)) << (context.attempt() - 1);
+    // Without time for another attempt it is better to wait for this one.
+    boolean hasTimeForAnother = context.deadline().remainingNanos(clock) - allowed > (long) nanos;
+    return hasTimeForAnother
+        ? Deadline.after(clock, Duration.ofNanos(allowed))
+        : context.deadline();
+  }
+
+  private double estimate(RouteId route) {
+    @Nullable Percentile percentile = percentiles.get(route);
+    return percentile == null ? 0 : percentile.nanos();
+  }
+
+  @Override
+  public void answered(RouteId route, Duration latency) {
+    lock.run(
+        () -> {
+          if (percentiles.size() < MAXIMUM_ROUTES || percentiles.containsKey(route)) {
+            percentiles.computeIfAbsent(route, unused -> new Percentile()).add(latency);
+          }
+        });
+  }
+
+  /** Estimate of the 99th percentile that moves by a small step with each answer. */
+  private static final class Percentile {
+    private static final int NEEDED_ANSWERS = 20;
+    private static final double QUANTILE = 0.99;
+
+    /** Logarithmic step; the estimate doubles within three answers above it. */
+    private static final double STEP = 0.25;
+
+    private int answers;
+    private double logNanos;
+
+    private void add(Duration latency) {
+      double log = Math.log((double) Math.max(1, latency.toNanos()));
+      answers = Math.min(NEEDED_ANSWERS, answers + 1);
+      if (answers < NEEDED_ANSWERS) {
+        logNanos = Math.max(logNanos, log);
+      } else if (log > logNanos) {
+        logNanos += STEP * QUANTILE;
+      } else {
+        logNanos -= STEP * (1 - QUANTILE);
+      }
+    }
+
+    private double nanos() {
+      return answers < NEEDED_ANSWERS ? 0 : Math.exp(logNanos);
+    }
+  }
+}
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/RoundRobinSelection.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/RoundRobinSelection.java
@@ -1,14 +1,19 @@
 package org.kumquatvane.selection;
 
-import java.util.List;
-import java.util.concurrent.atomic.AtomicInteger;
-
 /** Chooses instances in turn; the baseline that other ways are measured against. */
 public final class RoundRobinSelection implements SelectionPolicy {
-  private final AtomicInteger turn = new AtomicInteger();
+  private int turn;
 
   @Override
-  public int choose(List<Candidate> candidates) {
-    return Math.floorMod(turn.getAndIncrement(), candidates.size());
+  public int choose(Candidates candidates) {
+    int size = candidates.size();
+    for (int skipped = 0; skipped < size; skipped++) {
+      int index = Math.floorMod(turn, size);
+      turn++;
+      if (candidates.isOpen(index)) {
+        return index;
+      }
+    }
+    return NONE;
   }
 }
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/SelectionPolicy.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/SelectionPolicy.java
@@ -1,14 +1,15 @@
 package org.kumquatvane.selection;
 
-import java.util.List;
-
-/** Chooses one of the instances that have a free slot. */
+/** Chooses one of the instances that have a free slot; called under the pool's lock. */
 public interface SelectionPolicy {
+  /** Returned when no instance is open. */
+  int NONE = -1;
+
   /**
    * Chooses an instance.
    *
-   * @param candidates instances with a free slot, in a stable order; not empty
-   * @return index of the chosen one
+   * @param candidates all instances of the service
+   * @return index of the chosen one, which is open, or {@link #NONE}
    */
-  int choose(List<Candidate> candidates);
+  int choose(Candidates candidates);
 }
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.selection;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -11,9 +12,11 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.FailureDomain;
 import org.kumquatvane.core.InstanceId;
 import org.kumquatvane.core.Invariant;
 import org.kumquatvane.core.InvariantMonitor;
@@ -34,6 +37,7 @@
   private final InstanceHealth health;
   private final Function<SelectionMode, SelectionPolicy> policies;
   private final InvariantMonitor monitor;
+  private final @Nullable FailureDomain ownDomain;
   private final Map<ServiceName, ServiceEntry> services = new HashMap<>();
 
   /**
@@ -49,6 +53,25 @@
       InstanceHealth health,
       Function<SelectionMode, SelectionPolicy> policies,
       InvariantMonitor monitor) {
+    this(clock, health, policies, monitor, null);
+  }
+
+  /**
+   * Creates a pool without instances that knows the failure domain of this VM.
+   *
+   * @param clock clock of the warm-up deadlines
+   * @param health judges instances
+   * @param policies creates the policy of a service
+   * @param monitor receives violations
+   * @param ownDomain failure domain of this VM, or null if it is unknown
+   */
+  public TrackedInstancePool(
+      Clock clock,
+      InstanceHealth health,
+      Function<SelectionMode, SelectionPolicy> policies,
+      InvariantMonitor monitor,
+      @Nullable FailureDomain ownDomain) {
+    this.ownDomain = ownDomain;
     this.clock = clock;
     this.health = health;
     this.policies = policies;
@@ -63,29 +86,19 @@
 
   @Override
   public void update(Collection<Instance> instances) {
+    Map<ServiceName, List<Instance>> byService =
+        instances.stream().collect(Collectors.groupingBy(Instance::service));
     lock.run(
         () -> {
-          Set<InstanceId> listed = new HashSet<>();
-          for (Instance instance : instances) {
-            listed.add(instance.id());
-            entry(instance.service()).put(instance);
-          }
-          services.values().forEach(service -> service.retain(listed));
+          byService.keySet().forEach(this::entry);
+          services.forEach(
+              (name, service) -> service.update(byService.getOrDefault(name, List.of())));
         });
   }
 
   @Override
   public Optional<Reservation> reserve(ServiceName service, Set<InstanceId> excluded) {
-    Map<InstanceId, Eligibility> eligibilities = eligibilities(service);
-    return lock.call(() -> entry(service).reserve(eligibilities, excluded));
-  }
-
-  /** Asks for eligibilities before the pool's lock is taken, as the lock order demands. */
-  private Map<InstanceId, Eligibility> eligibilities(ServiceName service) {
-    List<InstanceId> ids = lock.call(() -> List.copyOf(entry(service).instances.keySet()));
-    Map<InstanceId, Eligibility> eligibilities = new HashMap<>();
-    ids.forEach(id -> eligibilities.put(id, health.eligibility(service, id)));
-    return eligibilities;
+    return lock.call(() -> entry(service).reserve(excluded));
   }
 
   @Override
@@ -108,6 +121,8 @@
 
   @Override
   public void markLeaving(ServiceName service, InstanceId instance) {
+    // Before the pool's lock, since the health table has a lower rank.
+    health.instanceLeaving(service, instance);
     lock.run(
         () -> {
           @Nullable InstanceEntry entry = entry(service).instances.get(instance);
@@ -120,10 +135,7 @@
   @Override
   public List<InstanceStatus> status() {
     List<InstanceStatus> statuses = new ArrayList<>();
-    for (ServiceName service : lock.call(() -> List.copyOf(services.keySet()))) {
-      Map<InstanceId, Eligibility> eligibilities = eligibilities(service);
-      lock.run(() -> entry(service).addStatus(eligibilities, statuses));
-    }
+    lock.run(() -> services.values().forEach(service -> service.addStatus(statuses)));
     statuses.sort(
         Comparator.comparing((InstanceStatus status) -> status.instance().service())
             .thenComparing(status -> status.instance().id()));
@@ -134,9 +146,12 @@
     return services.computeIfAbsent(service, unused -> new ServiceEntry());
   }
 
-  private final class ServiceEntry {
+  private final class ServiceEntry implements Candidates {
     private final Map<InstanceId, InstanceEntry> instances = new TreeMap<>();
+    private InstanceEntry[] index = {};
+    private Set<InstanceId> excluded = Set.of();
     private SelectionPolicy policy = policies.apply(SelectionMode.ROUND_ROBIN);
+    private boolean listed;
     private @Nullable Service settings;
 
     private void setPolicy(Service service) {
@@ -147,6 +162,17 @@
       settings = service;
     }
 
+    private void update(List<Instance> newest) {
+      Set<InstanceId> present = new HashSet<>();
+      for (Instance instance : newest) {
+        present.add(instance.id());
+        put(instance);
+      }
+      instances.keySet().retainAll(present);
+      index = instances.values().toArray(InstanceEntry[]::new);
+      listed = index.length > 0;
+    }
+
     private void put(Instance instance) {
       @Nullable InstanceEntry known = instances.get(instance.id());
       if (known != null) {
@@ -155,44 +181,70 @@
       }
       Service service = settings;
       // The first list a VM reads says nothing about the age of its instances.
-      Deadline warmAt =
-          service == null || instances.isEmpty()
-              ? new Deadline(clock.monotonicNanos())
-              : Deadline.after(clock, service.capacity().warmUp());
-      instances.put(instance.id(), new InstanceEntry(instance, warmAt));
-    }
-
-    private void retain(Set<InstanceId> listed) {
-      instances.keySet().retainAll(listed);
+      Duration warmUp = service == null || !listed ? Duration.ZERO : service.capacity().warmUp();
+      instances.put(
+          instance.id(), new InstanceEntry(instance, Deadline.after(clock, warmUp), warmUp));
     }
 
-    private Optional<Reservation> reserve(
-        Map<InstanceId, Eligibility> eligibilities, Set<InstanceId> excluded) {
-      Service service = settings;
-      if (service == null) {
+    private Optional<Reservation> reserve(Set<InstanceId> without) {
+      if (settings == null) {
         return Optional.empty();
       }
-      List<Candidate> candidates = new ArrayList<>();
-      for (InstanceEntry entry : instances.values()) {
-        Eligibility eligibility =
-            eligibilities.getOrDefault(entry.instance.id(), Eligibility.ELIGIBLE);
-        boolean open = !entry.isLeaving() && !excluded.contains(entry.instance.id());
-        if (!open || entry.slotsInUse >= service.capacity().slots()) {
-          continue;
-        }
-        if (eligibility == Eligibility.TRIAL) {
-          return Optional.of(take(entry, true));
-        }
-        if (eligibility == Eligibility.ELIGIBLE) {
-          candidates.add(
-              new Candidate(entry.instance, entry.slotsInUse, entry.warmAt.isReached(clock)));
+      excluded = without;
+      if (index.length > 0 && health.hasEjections(index[0].instance.service())) {
+        for (InstanceEntry entry : index) {
+          if (isTrialDue(entry)) {
+            return Optional.of(take(entry, true));
+          }
         }
       }
-      if (candidates.isEmpty()) {
-        return Optional.empty();
-      }
-      InstanceId chosen = candidates.get(policy.choose(candidates)).instance().id();
-      return Optional.ofNullable(instances.get(chosen)).map(entry -> take(entry, false));
+      int chosen = policy.choose(this);
+      return chosen == SelectionPolicy.NONE
+          ? Optional.empty()
+          : Optional.of(take(index[chosen], false));
+    }
+
+    /** One trial at a time, so that a bad instance delays few requests. */
+    private boolean isTrialDue(InstanceEntry entry) {
+      return entry.slotsInUse == 0
+          && !entry.isLeaving()
+          && !excluded.contains(entry.instance.id())
+          && eligibility(entry) == Eligibility.TRIAL;
+    }
+
+    private Eligibility eligibility(InstanceEntry entry) {
+      return health.eligibility(entry.instance.service(), entry.instance.id());
+    }
+
+    @Override
+    public int size() {
+      return index.length;
+    }
+
+    @Override
+    public boolean isOpen(int number) {
+      InstanceEntry entry = index[number];
+      Service service = settings;
+      return service != null
+          && entry.slotsInUse < service.capacity().slots()
+          && !entry.isLeaving()
+          && (excluded.isEmpty() || !excluded.contains(entry.instance.id()))
+          && eligibility(entry) == Eligibility.ELIGIBLE;
+    }
+
+    @Override
+    public int slotsInUse(int number) {
+      return index[number].slotsInUse;
+    }
+
+    @Override
+    public double warmUpShare(int number) {
+      return index[number].warmUpShare(clock);
+    }
+
+    @Override
+    public boolean isNear(int number) {
+      return index[number].instance.failureDomain().equals(ownDomain);
     }
 
     private Reservation take(InstanceEntry entry, boolean trial) {
@@ -204,32 +256,41 @@
       return new Reservation(entry.instance, trial);
     }
 
-    private void addStatus(
-        Map<InstanceId, Eligibility> eligibilities, List<InstanceStatus> statuses) {
-      for (InstanceEntry entry : instances.values()) {
+    private void addStatus(List<InstanceStatus> statuses) {
+      for (InstanceEntry entry : index) {
         statuses.add(
             new InstanceStatus(
-                entry.instance,
-                entry.slotsInUse,
-                eligibilities.getOrDefault(entry.instance.id(), Eligibility.ELIGIBLE),
-                entry.isLeaving()));
+                entry.instance, entry.slotsInUse, eligibility(entry), entry.isLeaving()));
       }
     }
   }
 
   private static final class InstanceEntry {
+    /** Share of requests at the start of the warm-up; it rises evenly to 1 at its end. */
+    private static final double FIRST_SHARE = 0.1;
+
     private Instance instance;
     private final Deadline warmAt;
+    private final long warmUpNanos;
     private int slotsInUse;
     private boolean saidLeaving;
 
-    private InstanceEntry(Instance instance, Deadline warmAt) {
+    private InstanceEntry(Instance instance, Deadline warmAt, Duration warmUp) {
       this.instance = instance;
       this.warmAt = warmAt;
+      warmUpNanos = warmUp.toNanos();
     }
 
     private boolean isLeaving() {
       return saidLeaving || instance.leaving();
     }
+
+    private double warmUpShare(Clock clock) {
+      if (warmAt.isReached(clock)) {
+        return 1;
+      }
+      double left = (double) warmAt.remainingNanos(clock) / warmUpNanos;
+      return FIRST_SHARE + (1 - FIRST_SHARE) * (1 - left);
+    }
   }
 }
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TwoChoicesSelection.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TwoChoicesSelection.java
@@ -1,36 +1,82 @@
 package org.kumquatvane.selection;
 
-import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 
-/** Chooses the less loaded of two random instances, by the slots that this VM uses. */
+/**
+ * Chooses the less loaded of two random instances, by the slots that this VM uses; on equal load
+ * one in this VM's failure domain has a better chance.
+ *
+ * <p>A choice looks at a few instances only, whatever the size of the service.
+ */
 public final class TwoChoicesSelection implements SelectionPolicy {
+  /** Draws before a scan; with half of the instances open a scan is needed once in 256 choices. */
+  private static final int MAXIMUM_DRAWS = 8;
+
   private final UniformRandomProvider random;
+  private final double nearPreference;
 
   /**
-   * Creates the policy.
+   * Creates the policy without a preference for the own failure domain.
    *
    * @param random seeded source of the choices, used under the pool's lock only
    */
   public TwoChoicesSelection(UniformRandomProvider random) {
+    this(random, 0);
+  }
+
+  /**
+   * Creates the policy.
+   *
+   * @param random seeded source of the choices, used under the pool's lock only
+   * @param nearPreference probability that on equal load the nearer one is taken, 0 to 1
+   */
+  public TwoChoicesSelection(UniformRandomProvider random, double nearPreference) {
     this.random = random;
+    this.nearPreference = nearPreference;
   }
 
   @Override
-  public int choose(List<Candidate> candidates) {
-    if (candidates.size() == 1) {
-      return 0;
+  public int choose(Candidates candidates) {
+    int first = draw(candidates, NONE);
+    if (first == NONE) {
+      return firstOpen(candidates);
     }
-    int first = random.nextInt(candidates.size());
-    int second = random.nextInt(candidates.size() - 1);
-    if (second >= first) {
-      second++;
+    int second = draw(candidates, first);
+    if (second == NONE) {
+      return first;
     }
-    return load(candidates.get(second)) < load(candidates.get(first)) ? second : first;
+    int difference = candidates.slotsInUse(second) - candidates.slotsInUse(first);
+    if (difference != 0) {
+      return difference < 0 ? second : first;
+    }
+    boolean prefersSecond = candidates.isNear(second) && !candidates.isNear(first);
+    return prefersSecond && random.nextDouble() < nearPreference ? second : first;
   }
 
-  private static int load(Candidate candidate) {
-    // A cold instance counts as busier, so that it gets a smaller share while it warms up.
-    return candidate.slotsInUse() + (candidate.warm() ? 0 : 1);
+  /** Draws an open instance, or none after a few failures; a cold one is drawn less often. */
+  private int draw(Candidates candidates, int other) {
+    int size = candidates.size();
+    for (int draw = 0; draw < MAXIMUM_DRAWS && size > 0; draw++) {
+      int index = random.nextInt(size);
+      if (index != other && candidates.isOpen(index)) {
+        double share = candidates.warmUpShare(index);
+        if (share >= 1 || random.nextDouble() < share) {
+          return index;
+        }
+      }
+    }
+    return NONE;
+  }
+
+  private int firstOpen(Candidates candidates) {
+    int size = candidates.size();
+    int start = size == 0 ? 0 : random.nextInt(size);
+    for (int i = 0; i < size; i++) {
+      int index = (start + i) % size;
+      if (candidates.isOpen(index)) {
+        return index;
+      }
+    }
+    return NONE;
   }
 }
