Run the process on the distributor and the replicated operation ledger

Cause: each VM read the platform itself and operations were not recorded. Change: ConfigurationDistributor over the platform client, ReplicatedOperationLedger, attempt deadlines and the fleet's connection share join the process; the direct reader and the placeholders are removed.

--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/EngineFixture.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/EngineFixture.java
@@ -44,6 +44,7 @@
 import org.kumquatvane.operations.OperationResult;
 import org.kumquatvane.retries.FixedRetry;
 import org.kumquatvane.retries.RetryRules;
+import org.kumquatvane.retries.WholeTimeDeadline;
 import org.kumquatvane.routing.DocumentRouteTable;
 import org.kumquatvane.selection.Instance;
 import org.kumquatvane.selection.RoundRobinSelection;
@@ -97,6 +98,7 @@
                 health,
                 new ScriptedCrashGuard(),
                 new FixedRetry(rules),
+                new WholeTimeDeadline(),
                 service -> 1,
                 counters,
                 new DiscardingEventLog(),
--- a/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformClient.java
+++ b/kumquatvane-platform/src/main/java/org/kumquatvane/platform/PlatformClient.java
@@ -14,12 +14,18 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.distribution.PlatformSource;
+import org.kumquatvane.distribution.SourceWatch;
+import org.kumquatvane.distribution.ValueAnswer;
+import org.kumquatvane.distribution.VmListAnswer;
 
 /** Client of the platform's configuration service and VM list; only reads. */
-public final class PlatformClient implements AutoCloseable {
+public final class PlatformClient implements PlatformSource, AutoCloseable {
   /** Largest answer that is read; the platform holds values of up to a megabyte. */
   private static final int MAXIMUM_BYTES = 2 * 1024 * 1024;
 
@@ -33,6 +39,7 @@
   private static final int NOT_FOUND = 404;
 
   private final HttpClient client;
+  private final VmListParser lists = new VmListParser();
 
   /**
    * Creates a client; connections are opened when needed.
@@ -48,28 +55,30 @@
             .build();
   }
 
-  /**
-   * Reads or watches a value.
-   *
-   * @param name name of the value
-   * @param watch how long to wait
-   * @param answer receives exactly one answer, on an I/O thread
-   */
-  public void value(String name, PlatformWatch watch, Consumer<PlatformAnswer> answer) {
-    call("/v1/values/" + URLEncoder.encode(name, StandardCharsets.UTF_8), watch, answer);
+  @Override
+  public void value(String name, SourceWatch watch, Consumer<ValueAnswer> answer) {
+    String path = "/v1/values/" + URLEncoder.encode(name, StandardCharsets.UTF_8);
+    call(
+        path,
+        watch,
+        response -> answer.accept(valueOf(response)),
+        detail -> answer.accept(new ValueAnswer.Unavailable(detail)));
   }
 
-  /**
-   * Reads or watches the VM list.
-   *
-   * @param watch how long to wait
-   * @param answer receives exactly one answer, on an I/O thread
-   */
-  public void vmList(PlatformWatch watch, Consumer<PlatformAnswer> answer) {
-    call("/v1/vms", watch, answer);
+  @Override
+  public void vmList(SourceWatch watch, Consumer<VmListAnswer> answer) {
+    call(
+        "/v1/vms",
+        watch,
+        response -> answer.accept(listOf(response)),
+        detail -> answer.accept(new VmListAnswer.Unavailable(detail)));
   }
 
-  private void call(String path, PlatformWatch watch, Consumer<PlatformAnswer> answer) {
+  private void call(
+      String path,
+      SourceWatch watch,
+      Consumer<HttpResponse> onAnswer,
+      Consumer<String> onUnavailable) {
     String target =
         watch.after().isPresent()
             ? path
@@ -86,43 +95,70 @@
 
               @Override
               public void onSuccess(@Nullable HttpResponse response) {
-                answer.accept(
-                    response == null
-                        ? new PlatformAnswer.Unavailable("no answer")
-                        : answerOf(response));
+                if (response == null) {
+                  onUnavailable.accept("no answer");
+                } else {
+                  onAnswer.accept(response);
+                }
               }
 
               @Override
               public void onError(Throwable failure) {
-                answer.accept(new PlatformAnswer.Unavailable(failure.toString()));
+                onUnavailable.accept(failure.toString());
               }
             });
   }
 
-  private static PlatformAnswer answerOf(HttpResponse response) {
+  private static ValueAnswer valueOf(HttpResponse response) {
     int status = response.status().code();
     if (status == NOT_MODIFIED) {
-      return new PlatformAnswer.Unchanged();
+      return new ValueAnswer.Unchanged();
     }
     if (status == NOT_FOUND) {
-      return new PlatformAnswer.Absent();
+      return new ValueAnswer.Absent();
+    }
+    OptionalLong version = version(response);
+    if (status != OK || version.isEmpty()) {
+      return new ValueAnswer.Unavailable("status " + status + " without a usable version");
+    }
+    return body(response)
+        .<ValueAnswer>map(bytes -> new ValueAnswer.Current(version.getAsLong(), bytes))
+        .orElseGet(() -> new ValueAnswer.Unavailable("the answer is too long"));
+  }
+
+  private VmListAnswer listOf(HttpResponse response) {
+    int status = response.status().code();
+    if (status == NOT_MODIFIED) {
+      return new VmListAnswer.Unchanged();
     }
     if (status != OK) {
-      return new PlatformAnswer.Unavailable("status " + status);
+      return new VmListAnswer.Unavailable("status " + status);
+    }
+    return body(response)
+        .flatMap(lists::parse)
+        .<VmListAnswer>map(VmListAnswer.Current::new)
+        .orElseGet(() -> new VmListAnswer.Unavailable("the VM list is malformed or too long"));
+  }
+
+  private static OptionalLong version(HttpResponse response) {
+    @Nullable CharSequence version = response.headers().get("Version");
+    try {
+      return version == null
+          ? OptionalLong.empty()
+          : OptionalLong.of(Long.parseLong(version.toString()));
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
     }
+  }
+
+  private static Optional<byte[]> body(HttpResponse response) {
     int length = response.payloadBody().readableBytes();
     if (length > MAXIMUM_BYTES) {
-      return new PlatformAnswer.Unavailable("answer of " + length + " bytes is too long");
+      return Optional.empty();
     }
     byte[] bytes = new byte[length];
     response.payloadBody().readBytes(bytes);
-    @Nullable CharSequence version = response.headers().get("Version");
-    try {
-      return new PlatformAnswer.Current(
-          new PlatformValue(version == null ? 0 : Long.parseLong(version.toString()), bytes));
-    } catch (NumberFormatException e) {
-      return new PlatformAnswer.Unavailable("the header Version is not a number");
-    }
+    return Optional.of(bytes);
   }
 
   @Override
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -17,8 +17,10 @@
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LogField;
+import org.kumquatvane.distribution.ConfigurationDistributor;
+import org.kumquatvane.distribution.DistributionSettings;
+import org.kumquatvane.distribution.LatestMark;
 import org.kumquatvane.document.ConfigurationTable;
-import org.kumquatvane.document.Document;
 import org.kumquatvane.document.DocumentListener;
 import org.kumquatvane.http.BackendConnections;
 import org.kumquatvane.http.BodyLimits;
@@ -27,12 +29,12 @@
 import org.kumquatvane.http.CallerServerDependencies;
 import org.kumquatvane.http.CallerServerSettings;
 import org.kumquatvane.http.TlsFiles;
-import org.kumquatvane.membership.ConfigurationMark;
+import org.kumquatvane.membership.VmListListener;
 import org.kumquatvane.platform.PlatformClient;
 import org.kumquatvane.server.internal.DecisionParts;
-import org.kumquatvane.server.internal.DirectPlatformReader;
 import org.kumquatvane.server.internal.FleetParts;
 import org.kumquatvane.server.internal.InstanceFeed;
+import org.kumquatvane.server.internal.ParsedDocumentIntake;
 import org.kumquatvane.server.internal.ProcessRuntime;
 import org.kumquatvane.server.internal.ReadinessState;
 import org.kumquatvane.server.internal.SecretReader;
@@ -54,34 +56,48 @@
   private final FleetParts fleet;
   private final DecisionParts decisions;
   private final ConfigurationTable configuration;
+  private final ConfigurationDistributor distributor;
 
   private ProxyServer(Settings settings, EventLog eventLog, Runnable onDrainRequest)
       throws IOException, GeneralSecurityException {
     this.settings = settings;
     runtime = new ProcessRuntime(settings, eventLog);
-    fleet = new FleetParts(settings, runtime, this::configurationMark);
+    LatestMark mark = new LatestMark();
+    fleet = new FleetParts(settings, runtime, mark);
     decisions = new DecisionParts(settings, runtime, fleet);
     List<DocumentListener> listeners = new ArrayList<>(decisions.documentListeners());
     listeners.add(fleet);
     configuration = new ConfigurationTable(listeners, runtime.monitor());
     connections = new BackendConnections(runtime.clock());
     platform = new PlatformClient(settings.platform().endpoint());
-    DirectPlatformReader reader =
-        new DirectPlatformReader(
-            platform,
-            settings.platform().documentName(),
+    AtomicBoolean hasVmList = new AtomicBoolean();
+    List<VmListListener> listListeners =
+        List.of(
+            fleet,
+            decisions.health(),
+            new InstanceFeed(decisions.instances(), connections, decisions.engine()),
+            list -> hasVmList.set(true));
+    distributor =
+        new ConfigurationDistributor(
+            DistributionSettings.of(
+                settings.platform().documentName(), settings.fleet().peerWait()),
+            fleet.membership(),
             configuration,
-            List.of(
-                fleet,
-                decisions.health(),
-                new InstanceFeed(decisions.instances(), connections, decisions.engine())),
-            runtime.workers(),
-            runtime.scheduler(),
+            decisions.keys(),
+            new ParsedDocumentIntake(settings.platform().documentName()),
+            platform,
+            listListeners,
+            mark,
+            fleet.network(),
             runtime.clock(),
+            runtime.scheduler(),
+            runtime.counters(),
             runtime.eventLog());
+    distributor.registerHandlers(fleet.dispatcher());
+    fleet.membership().addListener(distributor);
     ReadinessState readiness = new ReadinessState();
     readiness.require("no_configuration", () -> configuration.current().isPresent());
-    readiness.require("no_vm_list", reader::hasList);
+    readiness.require("no_vm_list", hasVmList::get);
     readiness.require("draining", () -> !draining.get());
     admin = createAdmin(readiness, onDrainRequest);
     admin.start();
@@ -99,15 +115,7 @@
                 draining::get));
     fleet.start();
     decisions.start();
-    reader.start();
-  }
-
-  private ConfigurationMark configurationMark() {
-    return configuration
-        .current()
-        .map(Document::generation)
-        .map(generation -> new ConfigurationMark(generation, decisions.keys().pendingWithdrawals()))
-        .orElse(ConfigurationMark.NONE);
+    distributor.start();
   }
 
   private AdminServer createAdmin(ReadinessState readiness, Runnable onDrainRequest)
@@ -175,9 +183,12 @@
     runtime
         .eventLog()
         .record(EventLog.Level.INFO, "drain_ended", LogField.of("complete", complete));
-    fleet.membership().depart();
+    decisions.handOver();
+    pause(DEPARTURE_TIME);
     decisions.close();
+    fleet.membership().depart();
     pause(DEPARTURE_TIME);
+    distributor.close();
     admin.close();
     fleet.close();
     connections.close();
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/DecisionParts.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/DecisionParts.java
@@ -11,12 +11,16 @@
 import org.kumquatvane.ejection.PeerComparisonHealth;
 import org.kumquatvane.ejection.SharedCrashGuard;
 import org.kumquatvane.engine.EngineDependencies;
+import org.kumquatvane.engine.FleetConnectionShare;
 import org.kumquatvane.engine.RequestEngine;
 import org.kumquatvane.keys.CompactKeyTable;
 import org.kumquatvane.limits.DocumentRateLimiter;
 import org.kumquatvane.limits.LeaseSettings;
 import org.kumquatvane.limits.LeasedShareLimiter;
 import org.kumquatvane.limits.StaticDivisionLimiter;
+import org.kumquatvane.operations.OperationSettings;
+import org.kumquatvane.operations.ReplicatedOperationLedger;
+import org.kumquatvane.retries.ObservedLatencyDeadline;
 import org.kumquatvane.routing.DocumentRouteTable;
 import org.kumquatvane.selection.RoundRobinSelection;
 import org.kumquatvane.selection.SelectionPolicy;
@@ -30,6 +34,8 @@
   private final DocumentRouteTable routes = new DocumentRouteTable();
   private final LeasedShareLimiter shares;
   private final DocumentRateLimiter limiter;
+  private final ReplicatedOperationLedger ledger;
+  private final FleetConnectionShare connectionShare = new FleetConnectionShare();
   private final FairAdmissionQueue queue;
   private final PeerComparisonHealth health;
   private final TrackedInstancePool instances;
@@ -45,7 +51,13 @@
   public DecisionParts(Settings settings, ProcessRuntime runtime, FleetParts fleet) {
     UniformRandomProvider random =
         RandomSource.XO_RO_SHI_RO_128_PP.create(RandomSource.createLong());
-    LeaseSettings leases = LeaseSettings.defaults();
+    LeaseSettings defaults = LeaseSettings.defaults();
+    LeaseSettings leases =
+        new LeaseSettings(
+            settings.fleet().floorLease(),
+            defaults.lease(),
+            defaults.renewal(),
+            defaults.shortestTokenHold());
     shares =
         new LeasedShareLimiter(
             runtime.clock(),
@@ -59,6 +71,18 @@
         new DocumentRateLimiter(
             runtime.clock(), new StaticDivisionLimiter(runtime.clock()), shares, leases);
     queue = new FairAdmissionQueue(runtime.clock());
+    ledger =
+        new ReplicatedOperationLedger(
+            runtime.clock(),
+            runtime.scheduler(),
+            fleet.network(),
+            fleet.membership(),
+            runtime.monitor(),
+            new OperationSettings(
+                settings.fleet().operationRetention(),
+                OperationSettings.defaults().maximumRecords(),
+                settings.fleet().clockSkew()));
+    ledger.register(fleet.dispatcher());
     health =
         new PeerComparisonHealth(
             settings.vmId(),
@@ -86,13 +110,14 @@
                 keys,
                 routes,
                 limiter,
-                new TemporaryLedger(),
+                ledger,
                 queue,
                 instances,
                 health,
                 crashGuard,
                 RetryPolicies.create(runtime.clock(), random, runtime.counters()),
-                service -> Math.max(1, service.capacity().maximumConnections() / 40),
+                new ObservedLatencyDeadline(runtime.clock()),
+                connectionShare,
                 runtime.counters(),
                 runtime.eventLog(),
                 runtime.monitor()),
@@ -112,7 +137,8 @@
    * @return the listeners
    */
   public List<DocumentListener> documentListeners() {
-    return List.of(keys, routes, limiter, queue, health, instances, engine);
+    return List.of(
+        keys, routes, limiter, ledger, connectionShare, queue, health, instances, engine);
   }
 
   /** Starts the periodic work. */
@@ -156,6 +182,11 @@
     return keys;
   }
 
+  /** Hands the operation records over to the other VMs, before this one departs. */
+  public void handOver() {
+    ledger.handOver();
+  }
+
   @Override
   public void close() {
     shares.close();
