Add the codecs of distribution, limits and ejection

Cause: only membership's messages could be sent. Change: one codec class for each message; digests travel as bytes. Nested maps are read by one method. The process gives no VM list version in its mark until it uses the distributor.

--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/FieldReader.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/FieldReader.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
@@ -138,7 +139,7 @@
   /**
    * Reads a list of maps.
    *
-   * @param reader reads one element, up to its last field
+   * @param reader reads all fields of one element
    * @param <T> type of the elements
    * @return the values
    * @throws IOException if the value has another type or is cut off
@@ -147,15 +148,23 @@
     int count = possible(unpacker.unpackArrayHeader());
     List<T> values = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      FieldReader element = new FieldReader(unpacker, totalBytes);
-      values.add(reader.read(element));
-      while (element.next() >= 0) {
-        element.skip();
-      }
+      values.add(nested(reader));
     }
     return values;
   }
 
+  /**
+   * Reads a map.
+   *
+   * @param reader reads its fields
+   * @param <T> type of the value
+   * @return the value
+   * @throws IOException if the value has another type or is cut off
+   */
+  public <T> T nested(ElementReader<T> reader) throws IOException {
+    return reader.read(new FieldReader(unpacker, totalBytes));
+  }
+
   /**
    * Checks that a field was present.
    *
@@ -165,8 +174,7 @@
    * @return the value
    * @throws MalformedMessageException if the field was absent
    */
-  public static <T> T required(int field, @org.jspecify.annotations.Nullable T value)
-      throws MalformedMessageException {
+  public static <T> T required(int field, @Nullable T value) throws MalformedMessageException {
     if (value == null) {
       throw new MalformedMessageException("field " + field + " is missing");
     }
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/FieldWriter.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/FieldWriter.java
@@ -106,6 +106,22 @@
     }
   }
 
+  /**
+   * Writes a map.
+   *
+   * @param field number of the field
+   * @param value the value
+   * @param writer writes its fields
+   * @param <T> type of the value
+   * @throws IOException if the packer fails
+   */
+  public <T> void nested(int field, T value, ElementWriter<T> writer) throws IOException {
+    begin(field);
+    FieldWriter element = new FieldWriter();
+    writer.write(value, element);
+    body.writePayload(element.toByteArray());
+  }
+
   /**
    * Returns the map.
    *
--- /dev/null
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/InstanceEvidenceCodec.java
@@ -0,0 +1,45 @@
+package org.kumquatvane.peering.codec;
+
+import java.io.IOException;
+import java.util.List;
+import org.kumquatvane.ejection.InstanceEvidence;
+
+/** Codec of {@link InstanceEvidence}. */
+public final class InstanceEvidenceCodec implements MessageCodec<InstanceEvidence> {
+  private static final int SEQUENCE = 1;
+  private static final int COUNTS = 2;
+  private static final int EJECTIONS = 3;
+
+  @Override
+  public int type() {
+    return 40;
+  }
+
+  @Override
+  public Class<InstanceEvidence> messageClass() {
+    return InstanceEvidence.class;
+  }
+
+  @Override
+  public void write(InstanceEvidence message, FieldWriter fields) throws IOException {
+    fields.integer(SEQUENCE, message.sequence());
+    fields.list(COUNTS, message.counts(), EvidenceFields::write);
+    fields.list(EJECTIONS, message.ejections(), EvidenceFields::write);
+  }
+
+  @Override
+  public InstanceEvidence read(FieldReader fields) throws IOException {
+    long sequence = 0;
+    List<InstanceEvidence.Counts> counts = List.of();
+    List<InstanceEvidence.Ejected> ejections = List.of();
+    for (int field = fields.next(); field >= 0; field = fields.next()) {
+      switch (field) {
+        case SEQUENCE -> sequence = fields.integer();
+        case COUNTS -> counts = fields.list(EvidenceFields::readCounts);
+        case EJECTIONS -> ejections = fields.list(EvidenceFields::readEjected);
+        default -> fields.skip();
+      }
+    }
+    return new InstanceEvidence(sequence, counts, ejections);
+  }
+}
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/PeerCodecs.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/PeerCodecs.java
@@ -20,6 +20,18 @@
             new HeartbeatCodec(),
             new HeartbeatReplyCodec(),
             new ReachabilityReportCodec(),
-            new DepartureNoticeCodec()));
+            new DepartureNoticeCodec(),
+            new DocumentOfferCodec(),
+            new DocumentRequestCodec(),
+            new DocumentPartCodec(),
+            new ConfigurationInquiryCodec(),
+            new KeyWithdrawalCodec(),
+            new VmListReportCodec(),
+            new LeaseRequestCodec(),
+            new LeaseGrantCodec(),
+            new TokenRequestCodec(),
+            new TokenGrantCodec(),
+            new InstanceEvidenceCodec(),
+            new CrashReportCodec()));
   }
 }
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -1,25 +1,91 @@
 package org.kumquatvane.peering.codec;
 
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.KeyDigest;
 import org.kumquatvane.core.PeerMessage;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.core.VmId;
+import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.distribution.ConfigurationInquiry;
+import org.kumquatvane.distribution.ContentDigest;
+import org.kumquatvane.distribution.DocumentOffer;
+import org.kumquatvane.distribution.DocumentPart;
+import org.kumquatvane.distribution.DocumentRequest;
+import org.kumquatvane.distribution.KeyWithdrawal;
+import org.kumquatvane.distribution.VmListReport;
+import org.kumquatvane.ejection.CrashReport;
+import org.kumquatvane.ejection.InstanceEvidence;
+import org.kumquatvane.ejection.RequestFingerprint;
+import org.kumquatvane.limits.LeaseGrant;
+import org.kumquatvane.limits.LeaseRequest;
+import org.kumquatvane.limits.TokenGrant;
+import org.kumquatvane.limits.TokenRequest;
+import org.kumquatvane.membership.BackendVm;
 import org.kumquatvane.membership.ConfigurationMark;
 import org.kumquatvane.membership.DepartureNotice;
 import org.kumquatvane.membership.Heartbeat;
 import org.kumquatvane.membership.HeartbeatReply;
 import org.kumquatvane.membership.ReachabilityReport;
+import org.kumquatvane.membership.Vm;
+import org.kumquatvane.membership.VmList;
+import org.kumquatvane.membership.VmState;
 
 /** One or more messages of each type. */
 final class SampleMessages {
+  private static final ContentDigest DIGEST = ContentDigest.of(new byte[] {1});
+  private static final WorkspaceId WORKSPACE = new WorkspaceId("digesters-north");
+  private static final ServiceName SERVICE = new ServiceName("rota");
+  private static final InstanceId INSTANCE = new InstanceId("r1");
+  private static final FailureDomain DOMAIN = new FailureDomain("a");
+
   private SampleMessages() {}
 
   static Stream<PeerMessage> all() {
-    return Stream.of(
+    return Stream.of(membership(), distribution(), limits(), ejection()).flatMap(List::stream);
+  }
+
+  private static List<PeerMessage> membership() {
+    return List.of(
         new Heartbeat(-7, Long.MIN_VALUE, new ConfigurationMark(12_345, 3, 77)),
         new HeartbeatReply(Integer.MAX_VALUE, Long.MAX_VALUE),
         new ReachabilityReport(1_760_000_000_000L, Set.of()),
-        new ReachabilityReport(2, Set.of(new VmId("e1"), new VmId("ê2"))),
+        new ReachabilityReport(2, Set.of(new VmId("e1"), new VmId("\u00ea2"))),
         new DepartureNotice(42));
   }
+
+  private static List<PeerMessage> distribution() {
+    SocketEndpoint endpoint = new SocketEndpoint("::1", 7001);
+    Vm entry = new Vm(new VmId("e1"), endpoint, DOMAIN, VmState.LEAVING);
+    BackendVm backend = new BackendVm(INSTANCE, SERVICE, endpoint, DOMAIN, VmState.LIVE);
+    return List.of(
+        new DocumentOffer(3, DIGEST),
+        new DocumentRequest(DIGEST, 262_144),
+        new DocumentPart(DIGEST, 300, 100, new byte[] {0, -1, 127}),
+        new ConfigurationInquiry(new ConfigurationMark(1, 2, 3)),
+        new KeyWithdrawal(9, List.of(KeyDigest.ofKey("x"), KeyDigest.ofKey("y"))),
+        new VmListReport(new VmList(8, List.of(entry), List.of(backend))));
+  }
+
+  private static List<PeerMessage> limits() {
+    return List.of(
+        new LeaseRequest(5, WORKSPACE, 0.25, 1_000_000_000),
+        new LeaseGrant(5, WORKSPACE, 0.125, 3.5, 900_000_000),
+        new TokenRequest(6, WORKSPACE, 2, 100),
+        new TokenGrant(6, WORKSPACE, 0, 50));
+  }
+
+  private static List<PeerMessage> ejection() {
+    return List.of(
+        new InstanceEvidence(
+            4,
+            List.of(new InstanceEvidence.Counts(SERVICE, INSTANCE, 10.5, 3, 7, -0.5)),
+            List.of(new InstanceEvidence.Ejected(SERVICE, INSTANCE, 12.5, 8_000, true))),
+        new CrashReport(
+            new RequestFingerprint("ab12"), INSTANCE, CrashReport.Outcome.INSTANCE_LOST));
+  }
 }
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -106,7 +106,7 @@
     return configuration
         .current()
         .map(Document::generation)
-        .map(generation -> new ConfigurationMark(generation, decisions.keys().pendingWithdrawals()))
+        .map(generation -> new ConfigurationMark(generation, decisions.keys().pendingWithdrawals(), 0))
         .orElse(ConfigurationMark.NONE);
   }
 
