Let only the current collector renew leases, and lend borrowed fractions on

A VM that had taken the collector's place for a moment renewed its leases with every request, and a fraction that was itself borrowed could not be lent on, since the lease would have ended later than its source. Change: only the collector renews; a fraction of borrowed origin is lent until the first of its leases ends. This also lets the collector lend a fraction to a VM with many requests.

--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/LeaseSettings.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/LeaseSettings.java
@@ -40,4 +40,14 @@
   public static long extend(long nanos) {
     return (long) Math.ceil(nanos * (1 + 2 * DRIFT_BOUND));
   }
+
+  /**
+   * Shortens a duration so that another VM's clock cannot measure it past its end.
+   *
+   * @param nanos nanoseconds on this VM's clock
+   * @return nanoseconds on the other VM's clock
+   */
+  public static long shorten(long nanos) {
+    return (long) (nanos / (1 + 2 * DRIFT_BOUND));
+  }
 }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LeaseRounds.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LeaseRounds.java
@@ -29,12 +29,17 @@
   }
 
   /**
-   * Starts a round if this VM has been collecting and its leases are about to end.
+   * Starts a round if this VM is the collector and its leases are about to end. A VM that took
+   * another one's place for a while stops, since two collectors would split the shares.
    *
    * @param account the workspace
    * @param effects receives the messages
    */
   public void renewIfCollecting(WorkspaceAccount account, Effects effects) {
+    VmId collector = table.collector(account, effects.now());
+    if (collector == null || !table.isSelf(collector)) {
+      return;
+    }
     long sinceNanos = effects.now() - account.roundNanos();
     if (sinceNanos >= settings.renewal().toNanos() && sinceNanos < settings.lease().toNanos()) {
       start(account, effects);
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/TokenLender.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/TokenLender.java
@@ -198,7 +198,7 @@
             borrower,
             request.requestId(),
             request.fraction(),
-            effects.now() + LeaseSettings.extend(validNanos),
+            validNanos,
             account.usefulFraction(account.demand().perSecond(effects.now())));
     if (lending.fraction() > 0) {
       effects.send(
@@ -208,7 +208,7 @@
               request.workspace(),
               lending.fraction(),
               lending.tokens(),
-              validNanos));
+              lending.validNanos()));
     }
   }
 }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/WorkspaceAccount.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/WorkspaceAccount.java
@@ -15,6 +15,7 @@
 import org.kumquatvane.core.VmId;
 import org.kumquatvane.core.WorkspaceId;
 import org.kumquatvane.document.RateLimit;
+import org.kumquatvane.limits.LeaseSettings;
 import org.kumquatvane.limits.TokenBucket;
 import org.kumquatvane.membership.Rendezvous;
 import org.kumquatvane.membership.Vm;
@@ -31,6 +32,7 @@
   private static final double SMALLEST_USEFUL_CAPACITY = 4;
   private static final double KEPT_OVER_DEMAND = 1.2;
   private static final double LEAST_DEMAND_PER_SECOND = 0.5;
+  private static final long SHORTEST_SUBLEASE_NANOS = 200_000_000L;
   private static final long SHORTEST_REFUSAL_NANOS = 5_000_000L;
   private static final long LONGEST_REFUSAL_NANOS = 160_000_000L;
   private static final long IDLE_NANOS = 60_000_000_000L;
@@ -187,26 +189,44 @@
   }
 
   /**
-   * Lends a fraction if enough of it is certain to stay until the deadline.
+   * Lends a fraction that is certain to stay until a deadline. If most of it is borrowed itself,
+   * the deadline lies before the end of the first borrowed lease.
    *
    * @param borrower the VM that asked
    * @param requestId number of its request; one that is not newer is ignored
    * @param wanted largest total fraction for the borrower
-   * @param untilNanos deadline on this VM's clock, already extended by the drift bound
+   * @param validNanos longest time on the borrower's clock
    * @param kept fraction that this VM keeps for its own requests
    * @return what was lent
    */
-  public Lending lend(VmId borrower, long requestId, double wanted, long untilNanos, double kept) {
+  public Lending lend(VmId borrower, long requestId, double wanted, long validNanos, double kept) {
     Long newest = newestLeaseRequest.get(borrower);
     if (newest != null && newest >= requestId) {
       return Lending.NOTHING;
     }
     newestLeaseRequest.put(borrower, requestId);
-    double already = lent.at(borrower, settledNanos);
+    return lend(borrower, wanted, validNanos, kept);
+  }
+
+  private Lending lend(VmId borrower, double wanted, long validNanos, double kept) {
+    long untilNanos = settledNanos + LeaseSettings.extend(validNanos);
+    long shorterNanos = untilNanos;
+    for (long end : borrowed.ends()) {
+      if (end - settledNanos > SHORTEST_SUBLEASE_NANOS) {
+        shorterNanos = Math.min(shorterNanos, end);
+      }
+    }
     double total = Math.min(wanted, lendable(borrower, untilNanos) - kept);
+    double shorter = Math.min(wanted, lendable(borrower, shorterNanos) - kept);
+    if (shorter > 2 * total) {
+      untilNanos = shorterNanos;
+      total = shorter;
+    }
     if (total <= ROUNDING) {
       return Lending.NOTHING;
     }
+    long borrowerNanos = Math.min(validNanos, LeaseSettings.shorten(untilNanos - settledNanos));
+    double already = lent.at(borrower, settledNanos);
     double before = usableAt(settledNanos);
     double added = Math.max(0, total - already);
     double tokens = before <= 0 ? 0 : bucket.level(settledNanos) * Math.min(1, added / before);
@@ -214,7 +234,7 @@
     checkConserved(untilNanos);
     bucket.take(Math.max(0, tokens - ROUNDING), settledNanos);
     resize();
-    return new Lending(total, Math.max(0, tokens - 2 * ROUNDING));
+    return new Lending(total, Math.max(0, tokens - 2 * ROUNDING), borrowerNanos);
   }
 
   /** The least that is left for one borrower at any moment until the deadline. */
@@ -498,9 +518,10 @@
    *
    * @param fraction total fraction of the borrower
    * @param tokens tokens that move with it
+   * @param validNanos how long the borrower holds it, counted from the sending of its request
    */
-  public record Lending(double fraction, double tokens) {
-    static final Lending NOTHING = new Lending(0, 0);
+  public record Lending(double fraction, double tokens, long validNanos) {
+    static final Lending NOTHING = new Lending(0, 0, 0);
   }
 
   private record SeenRequest(VmId borrower, long requestId) {}
