Add the benchmark command

Cause: docs/measurements.md needs figures taken side by side in one run. Result: compiles; not run yet.

--- /dev/null
+++ b/kumquatvane-bench/src/main/java/org/kumquatvane/bench/LoadRun.java
@@ -0,0 +1,109 @@
+package org.kumquatvane.bench;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Load over several connections for a fixed time.
+ *
+ * @param port port on 127.0.0.1
+ * @param key caller's key
+ * @param connections connections, each with one request at a time
+ * @param duration length of the run
+ */
+record LoadRun(int port, String key, int connections, Duration duration) {
+  private static final long HIGHEST_NANOS = TimeUnit.SECONDS.toNanos(60);
+  private static final int DIGITS = 3;
+  private static final int OK = 200;
+
+  /**
+   * What one run measured.
+   *
+   * @param latency times in nanoseconds, from the planned start of each request
+   * @param answered answers with status 200
+   * @param failed other answers and broken connections
+   * @param seconds length of the run
+   */
+  record Result(Histogram latency, long answered, long failed, double seconds) {
+    double perSecond() {
+      return answered / seconds;
+    }
+
+    double millis(double percentile) {
+      return latency.getValueAtPercentile(percentile) / 1e6;
+    }
+  }
+
+  /** Runs at a rate; times count from the planned start, so a late start is not left out. */
+  Result atRate(double perSecond) throws InterruptedException, ExecutionException {
+    return run((long) (connections * 1e9 / perSecond));
+  }
+
+  /** Runs with each connection sending its next request at once. */
+  Result saturated() throws InterruptedException, ExecutionException {
+    return run(0);
+  }
+
+  private Result run(long intervalNanos) throws InterruptedException, ExecutionException {
+    ExecutorService threads = Executors.newFixedThreadPool(connections);
+    try {
+      long start = System.nanoTime();
+      List<Future<Result>> parts = new ArrayList<>();
+      for (int i = 0; i < connections; i++) {
+        // Connections start evenly spread over the interval.
+        long offset = intervalNanos * i / connections;
+        parts.add(threads.submit(() -> drive(start + offset, intervalNanos)));
+      }
+      Histogram latency = new Histogram(HIGHEST_NANOS, DIGITS);
+      long answered = 0;
+      long failed = 0;
+      for (Future<Result> part : parts) {
+        Result result = part.get();
+        latency.add(result.latency());
+        answered += result.answered();
+        failed += result.failed();
+      }
+      return new Result(latency, answered, failed, (System.nanoTime() - start) / 1e9);
+    } finally {
+      threads.shutdownNow();
+    }
+  }
+
+  private Result drive(long firstStart, long intervalNanos) throws IOException {
+    Histogram latency = new Histogram(HIGHEST_NANOS, DIGITS);
+    long answered = 0;
+    long failed = 0;
+    long end = firstStart + duration.toNanos();
+    try (LoadConnection connection = new LoadConnection(port, key)) {
+      long planned = firstStart;
+      while (planned < end && System.nanoTime() < end) {
+        for (long left = planned - System.nanoTime();
+            left > 0;
+            left = planned - System.nanoTime()) {
+          LockSupport.parkNanos(left);
+        }
+        int status = connection.call();
+        long now = System.nanoTime();
+        latency.recordValue(Math.min(HIGHEST_NANOS, now - planned));
+        if (status == OK) {
+          answered++;
+        } else {
+          failed++;
+        }
+        planned = intervalNanos == 0 ? now : planned + intervalNanos;
+      }
+    } catch (IOException e) {
+      failed++;
+    }
+    return new Result(latency, answered, failed, 0);
+  }
+}
--- /dev/null
+++ b/kumquatvane-bench/src/main/java/org/kumquatvane/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Measurements of a serve process beside direct calls, in one run on one machine. */
+@NullMarked
+package org.kumquatvane.bench;
+
+import org.jspecify.annotations.NullMarked;
