--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/PeerCodecs.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/PeerCodecs.java
@@ -31,6 +31,13 @@
             new LeaseGrantCodec(),
             new TokenRequestCodec(),
             new TokenGrantCodec(),
+            new OperationBeginCodec(),
+            new OperationVerdictCodec(),
+            new OperationFinishCodec(),
+            new FinishRecordedCodec(),
+            new TransferRequestCodec(),
+            new OperationTransferCodec(),
+            new TransferCompleteCodec(),
             new InstanceEvidenceCodec(),
             new CrashReportCodec()));
   }
