--- a/kumquatvane-admission/src/main/java/org/kumquatvane/admission/internal/ServiceQueue.java
+++ b/kumquatvane-admission/src/main/java/org/kumquatvane/admission/internal/ServiceQueue.java
@@ -113,7 +113,9 @@
       queued.remove(account);
       WaitingRequest request = account.requests.removeFirst();
       waiting--;
-      boolean isExpired = request.deadline().isReached(clock);
+      // A slot given to a request that cannot end in time is lost for the others.
+      boolean isExpired =
+          request.deadline().remainingNanos(clock) <= (hasTypical ? account.typicalNanos / 2 : 0);
       if (isExpired) {
         expired.add(request);
       } else {
--- /dev/null
+++ b/kumquatvane-admission/src/test/java/org/kumquatvane/admission/FairAdmissionQueueTest.java
@@ -0,0 +1,139 @@
+package org.kumquatvane.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.admission.internal.ServiceQueue;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.document.QueuePolicy;
+import org.kumquatvane.testing.LogicalClock;
+
+/** Guards against starved workspaces and against requests that wait in vain. */
+class FairAdmissionQueueTest {
+  private static final Duration SLOT_TIME = Duration.ofMillis(100);
+
+  private final LogicalClock clock = new LogicalClock();
+  private final ServiceQueue queue = new ServiceQueue();
+
+  private record Waiting(WorkspaceId workspace, Deadline deadline) implements WaitingRequest {
+    @Override
+    public void expired() {}
+  }
+
+  private Waiting request(String workspace, long millis) {
+    return new Waiting(
+        new WorkspaceId(workspace), Deadline.after(clock, Duration.ofMillis(millis)));
+  }
+
+  /** Lets the queue learn the slot time with one request of each workspace in a slot. */
+  private void learn(String... workspaces) {
+    queue.setPolicy(new QueuePolicy(1_000, 1_000));
+    for (int round = 0; round < 50; round++) {
+      for (String workspace : workspaces) {
+        assertEquals(Optional.empty(), queue.enqueue(request(workspace, 60_000), clock));
+        queue.next(clock, new ArrayList<>());
+        queue.charge(new WorkspaceId(workspace), SLOT_TIME.toNanos());
+      }
+    }
+  }
+
+  @ParameterizedTest(name = "{0} waiting on {1} slots, {2} ms left")
+  @CsvSource({
+    "0, 1, 40, true",
+    "0, 1, 60, false",
+    "9, 1, 900, true",
+    "9, 1, 1000, false",
+    "9, 3, 300, true",
+    "9, 3, 400, false"
+  })
+  void refusesAtOnceWhatCannotEndInTime(int waiting, int slots, long millis, boolean refused) {
+    learn("a");
+    for (int i = 0; i < slots; i++) {
+      queue.enqueue(request("a", 60_000), clock);
+      queue.next(clock, new ArrayList<>());
+    }
+    for (int i = 0; i < waiting; i++) {
+      assertEquals(Optional.empty(), queue.enqueue(request("a", 60_000), clock));
+    }
+    assertEquals(
+        refused ? Optional.of(Reason.DEADLINE_UNREACHABLE) : Optional.empty(),
+        queue.enqueue(request("a", millis), clock));
+  }
+
+  @Test
+  void longQueueOfOneWorkspaceCausesNoRefusalOfAnother() {
+    learn("greedy", "small");
+    for (int i = 0; i < 500; i++) {
+      queue.enqueue(request("greedy", 60_000), clock);
+    }
+    assertEquals(Optional.empty(), queue.enqueue(request("small", 300), clock));
+  }
+
+  /** One workspace sends several times the capacity; the small one's waits must not change. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4, 8})
+  void greedyWorkspaceLeavesTheWaitsOfOthersAsTheyWere(int greedyFactor) {
+    learn("greedy", "small");
+    Deque<Deadline> busyUntil = new ArrayDeque<>();
+    Map<WaitingRequest, Long> sentNanos = new HashMap<>();
+    long worstNanos = 0;
+    int refusals = 0;
+    for (int tick = 0; tick < 6_000; tick++) {
+      clock.advance(Duration.ofMillis(10));
+      while (!busyUntil.isEmpty() && busyUntil.peek().isReached(clock)) {
+        busyUntil.remove();
+      }
+      // Four slots serve 0.4 requests in a tick; the small workspace sends 0.1.
+      if (tick % 10 == 0) {
+        Waiting small = request("small", 2_000);
+        sentNanos.put(small, clock.monotonicNanos());
+        refusals += queue.enqueue(small, clock).isPresent() ? 1 : 0;
+      }
+      if (tick % 5 == 0) {
+        for (int i = 0; i < greedyFactor; i++) {
+          queue.enqueue(request("greedy", 2_000), clock);
+        }
+      }
+      while (busyUntil.size() < 4) {
+        Optional<WaitingRequest> next = queue.next(clock, new ArrayList<>());
+        if (next.isEmpty()) {
+          break;
+        }
+        busyUntil.add(Deadline.after(clock, SLOT_TIME));
+        Long sent = sentNanos.remove(next.get());
+        worstNanos =
+            sent == null ? worstNanos : Math.max(worstNanos, clock.monotonicNanos() - sent);
+        queue.charge(next.get().workspace(), SLOT_TIME.toNanos());
+      }
+    }
+    assertEquals(0, refusals);
+    assertTrue(worstNanos <= 2 * SLOT_TIME.toNanos(), "worst wait " + worstNanos + " ns");
+  }
+
+  @Test
+  void accountsOfIdleWorkspacesAreDropped() {
+    queue.setPolicy(new QueuePolicy(1_000, 1_000));
+    for (int i = 0; i < 5_000; i++) {
+      queue.enqueue(request("w" + i, 60_000), clock);
+      queue.next(clock, new ArrayList<>());
+      queue.charge(new WorkspaceId("w" + i), 1);
+    }
+    assertTrue(queue.accounts() <= 128, "accounts " + queue.accounts());
+    List<WaitingRequest> expired = new ArrayList<>();
+    assertEquals(Optional.empty(), queue.next(clock, expired));
+  }
+}
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Baseline.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Baseline.java
@@ -8,7 +8,7 @@
  * instances does not move it and a service that is bad as a whole has no outliers.
  *
  * @param comparable instances with evidence
- * @param failureRate median share of failed attempts
+ * @param failureRate share of failed attempts that is normal for the service at present
  * @param latencyComparable instances with latency samples
  * @param medianLog median of the instances' mean logarithm of latency
  * @param variance variance of the logarithm within an instance
@@ -25,6 +25,12 @@
    */
   private static final double MINIMUM_VARIANCE = 0.09;
 
+  /** A peer rate that is estimated from few attempts may be too low by this factor. */
+  private static final double PEER_RATE_MARGIN = 1.5;
+
+  /** Above this share a second bad instance could hide the first one. */
+  private static final double HIGHEST_COMMON_RATE = 0.1;
+
   /** Variance assumed until there are enough samples to estimate it. */
   private static final double ASSUMED_VARIANCE = 1;
 
@@ -51,12 +57,33 @@
     double variance = (squares + 2 * ASSUMED_VARIANCE) / (freedom + 2);
     return new Baseline(
         rates.length,
-        median(rates),
+        Math.max(PEER_RATE_MARGIN * median(rates), commonFailureRate(evidence)),
         logs.length,
         median(logs),
         Math.max(MINIMUM_VARIANCE, variance));
   }
 
+  /**
+   * Returns the mean share of failed attempts, without the instance that has most, up to a bound:
+   * with few attempts for each instance the median is 0 although all fail now and then.
+   */
+  private static double commonFailureRate(Collection<DecayedEvidence> evidence) {
+    double attempts = 0;
+    double failures = 0;
+    double worstAttempts = 0;
+    double worstFailures = 0;
+    for (DecayedEvidence entry : evidence) {
+      attempts += entry.attempts();
+      failures += entry.failures();
+      if (entry.failures() > worstFailures) {
+        worstFailures = entry.failures();
+        worstAttempts = entry.attempts();
+      }
+    }
+    double others = attempts - worstAttempts;
+    return others < 1 ? 0 : Math.min(HIGHEST_COMMON_RATE, (failures - worstFailures) / others);
+  }
+
   private static double median(double[] values) {
     if (values.length == 0) {
       return 0;
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Certainty.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Certainty.java
@@ -5,9 +5,6 @@
   /** Failures below this share are taken as normal, however good the peers are. */
   private static final double NORMAL_FAILURE_RATE = 0.02;
 
-  /** A peer rate that is estimated from few attempts may be too low by this factor. */
-  private static final double PEER_RATE_MARGIN = 1.5;
-
   private static final double HIGHEST_COMPARABLE_RATE = 0.9;
 
   /**
@@ -20,7 +17,7 @@
 
   /** Chernoff bound of the binomial tail: attempts times the relative entropy of the rates. */
   static double ofFailures(double attempts, double failures, double peerRate) {
-    double expected = Math.max(NORMAL_FAILURE_RATE, PEER_RATE_MARGIN * peerRate);
+    double expected = Math.max(NORMAL_FAILURE_RATE, peerRate);
     if (attempts <= 0 || expected > HIGHEST_COMPARABLE_RATE) {
       return 0;
     }
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/DecayedEvidence.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/DecayedEvidence.java
@@ -4,7 +4,8 @@
 
 /** Outcomes of attempts at one instance, each weighted by an exponential decay of its age. */
 final class DecayedEvidence {
-  private final double timeConstantNanos;
+  private final double outcomeNanos;
+  private final double latencyNanos;
   private long updatedNanos;
   private double attempts;
   private double failures;
@@ -12,8 +13,9 @@
   private double logSum;
   private double logSquareSum;
 
-  DecayedEvidence(long timeConstantNanos, long nowNanos) {
-    this.timeConstantNanos = timeConstantNanos;
+  DecayedEvidence(Thresholds thresholds, long nowNanos) {
+    outcomeNanos = thresholds.outcomeTime().toNanos();
+    latencyNanos = thresholds.latencyTime().toNanos();
     updatedNanos = nowNanos;
   }
 
@@ -37,13 +39,14 @@
   }
 
   void decay(long nowNanos) {
-    double factor = Math.exp((updatedNanos - nowNanos) / timeConstantNanos);
+    double outcomeFactor = Math.exp((updatedNanos - nowNanos) / outcomeNanos);
+    double latencyFactor = Math.exp((updatedNanos - nowNanos) / latencyNanos);
     updatedNanos = nowNanos;
-    attempts *= factor;
-    failures *= factor;
-    samples *= factor;
-    logSum *= factor;
-    logSquareSum *= factor;
+    attempts *= outcomeFactor;
+    failures *= outcomeFactor;
+    samples *= latencyFactor;
+    logSum *= latencyFactor;
+    logSquareSum *= latencyFactor;
   }
 
   void clear() {
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Judgement.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/Judgement.java
@@ -36,7 +36,7 @@
   /** Judges the instance; certainty 0 leaves it in. */
   Verdict judge(InstanceEvidence.Counts own, InstanceRecord entry) {
     if (baseline.comparable() < Baseline.MINIMUM_COMPARABLE) {
-      return new Verdict(0, thresholds.trials());
+      return new Verdict(0, 1, thresholds.trials());
     }
     double share = entry.isOnProbation(clock) ? PROBATION_SHARE : 1;
     EvidenceSum shared = new EvidenceSum();
@@ -55,21 +55,24 @@
         slownessWitnesses += hasSeenSlowness(counts) ? 1 : 0;
       }
     }
-    double certainty = 0;
+    double failing = 0;
+    double slow = 0;
     if (failureWitnesses >= thresholds.witnesses()) {
-      certainty = failureCertainty(shared, share * thresholds.sharedCertainty());
+      failing = failureCertainty(shared, share * thresholds.sharedCertainty());
     }
     if (slownessWitnesses >= thresholds.witnesses()) {
-      certainty =
-          Math.max(certainty, slownessCertainty(shared, share * thresholds.sharedCertainty()));
+      slow = slownessCertainty(shared, share * thresholds.sharedCertainty());
     }
     if (mayJudgeAlone(entry)) {
       EvidenceSum alone = new EvidenceSum();
       alone.add(own);
-      certainty = Math.max(certainty, failureCertainty(alone, share * thresholds.ownCertainty()));
-      certainty = Math.max(certainty, slownessCertainty(alone, share * thresholds.ownCertainty()));
+      failing = Math.max(failing, failureCertainty(alone, share * thresholds.ownCertainty()));
+      slow = Math.max(slow, slownessCertainty(alone, share * thresholds.ownCertainty()));
     }
-    return new Verdict(certainty, trialsNeeded(Math.max(shared.failureRate(), rateOf(own))));
+    int needed =
+        failing > 0 ? thresholds.failureConfirmations() : thresholds.slownessConfirmations();
+    return new Verdict(
+        Math.max(failing, slow), needed, trialsNeeded(Math.max(shared.failureRate(), rateOf(own))));
   }
 
   private static double rateOf(InstanceEvidence.Counts counts) {
@@ -120,11 +123,12 @@
    * Outcome of a judgement.
    *
    * @param certainty certainty with which to eject, or 0
+   * @param confirmations consecutive evaluations that must agree
    * @param trials good trials that end the ejection
    */
-  record Verdict(double certainty, int trials) {
+  record Verdict(double certainty, int confirmations, int trials) {
     Verdict withCertainty(double other) {
-      return new Verdict(other, trials);
+      return new Verdict(other, 1, trials);
     }
   }
 }
--- a/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/ServiceRecord.java
+++ b/kumquatvane-ejection/src/main/java/org/kumquatvane/ejection/internal/ServiceRecord.java
@@ -21,8 +21,6 @@
 
 /** Judgement about the instances of one service; guarded by the lock of the health table. */
 public final class ServiceRecord {
-  private static final Duration TIME_CONSTANT_BEFORE_DOCUMENT = Duration.ofSeconds(10);
-
   /** Order in which ejections are kept when the floor does not allow all: most certain first. */
   private static final Comparator<InstanceRecord> MOST_CERTAIN_FIRST =
       Comparator.comparingDouble(InstanceRecord::highestCertainty)
@@ -31,6 +29,9 @@
 
   private static final int PERCENT = 100;
 
+  /** One in 40 answers takes longer than this many standard deviations above the median. */
+  private static final double USUAL_DEVIATIONS = 2;
+
   private final ServiceName name;
   private final Clock clock;
   private final Map<InstanceId, InstanceRecord> instances = new TreeMap<>();
@@ -80,12 +81,10 @@
   }
 
   private InstanceRecord newRecord(InstanceId id, Duration warmUp) {
-    Duration timeConstant =
-        settings == null ? TIME_CONSTANT_BEFORE_DOCUMENT : thresholds.timeConstant();
     return new InstanceRecord(
         id,
         Deadline.after(clock, warmUp),
-        new DecayedEvidence(timeConstant.toNanos(), clock.monotonicNanos()),
+        new DecayedEvidence(thresholds, clock.monotonicNanos()),
         clock);
   }
 
@@ -131,18 +130,37 @@
     }
     boolean isEvidence =
         observation.kind() != Observation.Kind.SHED
-            && observation.kind() != Observation.Kind.CANCELLED;
+            && observation.kind() != Observation.Kind.CANCELLED
+            && !hadTooLittleTime(observation);
     Ejection ejection = entry.ejection;
     if (ejection != null) {
       observeTrial(entry, ejection, observation, isEvidence, changes);
-    } else if (isEvidence && entry.isCapacity(clock)) {
+    } else if (isEvidence && wasCapacity(entry, observation)) {
       entry.own.add(observation, clock.monotonicNanos());
-      if (observation.kind() != Observation.Kind.SUCCESS && thresholds.confirmations() <= 1) {
-        evaluate(entry, changes);
+      if (observation.kind() != Observation.Kind.SUCCESS
+          && thresholds.failureConfirmations() <= 1) {
+        evaluate(entry, false, changes);
       }
     }
   }
 
+  /**
+   * Tells whether an attempt timed out so soon that good instances would often not have answered
+   * either, as after a long wait in the queue or with a caller that allows little time.
+   */
+  private boolean hadTooLittleTime(Observation observation) {
+    return observation.kind() == Observation.Kind.TIMED_OUT
+        && baseline.latencyComparable() >= Baseline.MINIMUM_COMPARABLE
+        && DecayedEvidence.logOf(observation)
+            < baseline.medianLog() + USUAL_DEVIATIONS * Math.sqrt(baseline.variance());
+  }
+
+  /** An attempt that began during the warm-up shows how cold the instance was. */
+  private boolean wasCapacity(InstanceRecord entry, Observation observation) {
+    long startedNanos = clock.monotonicNanos() - observation.latency().toNanos();
+    return !entry.isLeaving() && startedNanos - entry.warmAt.nanos() >= 0;
+  }
+
   private void observeTrial(
       InstanceRecord entry,
       Ejection ejection,
@@ -179,7 +197,7 @@
   private void prolong(InstanceRecord entry, Ejection ejection, Ejections changes) {
     Service service = settings;
     if (service != null) {
-      Judgement.Verdict verdict = new Judgement.Verdict(ejection.certainty(), ejection.trials());
+      Judgement.Verdict verdict = new Judgement.Verdict(ejection.certainty(), 1, ejection.trials());
       entry.eject(clock, verdict, true, service.ejection());
       changes.prolonged(name, entry.id);
     }
@@ -300,11 +318,11 @@
    */
   public void evaluateAll(Ejections changes) {
     for (InstanceRecord entry : instances.values()) {
-      evaluate(entry, changes);
+      evaluate(entry, true, changes);
     }
   }
 
-  private void evaluate(InstanceRecord entry, Ejections changes) {
+  private void evaluate(InstanceRecord entry, boolean isPeriodic, Ejections changes) {
     Service service = settings;
     if (service == null
         || service.ejection().profile() == EjectionProfile.NONE
@@ -322,14 +340,14 @@
     }
     double certainty = verdict.certainty();
     if (certainty <= 0) {
-      entry.confirmations = 0;
+      entry.confirmations = isPeriodic ? 0 : entry.confirmations;
       return;
     }
-    entry.confirmations++;
-    if (entry.confirmations < thresholds.confirmations()) {
+    entry.confirmations += isPeriodic ? 1 : 0;
+    if (Math.max(1, entry.confirmations) < verdict.confirmations()) {
       return;
     }
-    if (moreCertain(entry, certainty) >= allowedEjections()) {
+    if (ejectedBesides(entry) >= allowedEjections()) {
       changes.deniedByFloor(name, entry.id);
       return;
     }
@@ -348,6 +366,16 @@
         .count();
   }
 
+  /**
+   * Counts the other instances that any VM ejects. More certain evidence displaces none of them:
+   * instances that are left in gather ever more evidence, and the ejected ones would take turns.
+   */
+  private long ejectedBesides(InstanceRecord entry) {
+    return instances.values().stream()
+        .filter(other -> other != entry && other.isEjectedAnywhere() && other.isCapacity(clock))
+        .count();
+  }
+
   /** Counts other instances whose ejection by any VM ranks before one of the given certainty. */
   private long moreCertain(InstanceRecord entry, double certainty) {
     return instances.values().stream()
--- a/kumquatvane-ejection/src/test/java/org/kumquatvane/ejection/PeerComparisonHealthTest.java
+++ b/kumquatvane-ejection/src/test/java/org/kumquatvane/ejection/PeerComparisonHealthTest.java
@@ -103,6 +103,16 @@
     assertEquals(0, fleet.ejections());
   }
 
+  @Test
+  void timeoutsOfCallersThatAllowLittleTimeAreNoEvidence() {
+    HealthFleet fleet = new HealthFleet(5, EjectionProfile.FAST, 50, 5);
+    fleet.list(6);
+    fleet.run(MINUTE, 6, 20, (vm, instance) -> fleet.answer(1));
+    Observation tooEarly = new Observation(Observation.Kind.TIMED_OUT, Duration.ofMillis(15));
+    fleet.run(MINUTE, 6, 20, (vm, instance) -> instance == 0 ? tooEarly : fleet.answer(1));
+    assertEquals(0, fleet.ejections());
+  }
+
   @Test
   void coldAndLeavingInstancesAreNoEvidence() {
     HealthFleet fleet = new HealthFleet(3, EjectionProfile.FAST, 50, 5);
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
@@ -34,6 +34,7 @@
   private volatile Scheduler.@Nullable Scheduled deadlineTask;
   private volatile boolean isCancelled;
   private boolean recorded;
+  private boolean wasShed;
 
   AttemptStep(
       RequestFlow flow,
@@ -138,6 +139,7 @@
     }
     if (head.saysNotRun()) {
       running.discardAnswer();
+      wasShed = true;
       settleFailure(AttemptFailure.SHED, false, Observation.Kind.SHED);
       return;
     }
@@ -235,7 +237,11 @@
 
   private void releaseSlot() {
     if (slotReleased.compareAndSet(false, true)) {
-      dependencies.instances().release(reservation);
+      if (wasShed) {
+        dependencies.instances().releaseShed(reservation);
+      } else {
+        dependencies.instances().release(reservation);
+      }
       dependencies
           .queue()
           .charge(
--- /dev/null
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/gray/GrayFailureTest.java
@@ -0,0 +1,36 @@
+package org.kumquatvane.engine.gray;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.kumquatvane.document.EjectionProfile;
+
+/** Guards against late answers through a gray instance and against harm done by the policies. */
+class GrayFailureTest {
+  @ParameterizedTest
+  @EnumSource(Fault.class)
+  void servesAtLeastAsWellAsTheSimplestWay(Fault fault) {
+    Outcome simplest = run(Way.SIMPLEST, fault);
+    Outcome full = run(Way.full(EjectionProfile.FAST), fault);
+    assertEquals(0, full.floorViolations);
+    assertEquals(0, full.harmfulSecondRuns);
+    // A budget of 20 % and the ten retries that each VM may have saved.
+    assertTrue(
+        full.attempts <= 1.2 * full.logicalRequests + 10 * Scenario.VMS,
+        "attempts " + full.attempts + " for " + full.logicalRequests);
+    assertTrue(
+        full.worstInTime(0) >= simplest.worstInTime(0) - 0.005,
+        "in time " + full.worstInTime(0) + " against " + simplest.worstInTime(0));
+    if (fault.isOfInstance()) {
+      assertTrue(full.detectionSeconds < 15, "detection " + full.detectionSeconds);
+    } else {
+      assertEquals(0, full.falselyEjectedInstances);
+    }
+  }
+
+  private static Outcome run(Way way, Fault fault) {
+    return new Simulation(new Scenario(way, 6, 3, 60, 0.4, fault, 1, 5)).run();
+  }
+}
--- /dev/null
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/gray/Outcome.java
@@ -0,0 +1,68 @@
+package org.kumquatvane.engine.gray;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What one run showed, from the onset on. */
+final class Outcome {
+  static final int WORKSPACES = 8;
+
+  /**
+   * Seconds from the onset until nine in ten VMs ejected the instance; infinite if they did not.
+   */
+  double detectionSeconds = Double.POSITIVE_INFINITY;
+
+  /** Pairs of a VM and a good instance that it ejected. */
+  int falseEjections;
+
+  /** Good instances that any VM ejected. */
+  int falselyEjectedInstances;
+
+  int floorViolations;
+  int harmfulSecondRuns;
+  long usedSlotNanos;
+  long wastedSlotNanos;
+  long attempts;
+  long logicalRequests;
+  final long[] sent = new long[WORKSPACES];
+  final long[] inTime = new long[WORKSPACES];
+  final long[] refused = new long[WORKSPACES];
+  final List<List<Double>> latencyMillis = new ArrayList<>();
+
+  Outcome() {
+    for (int workspace = 0; workspace < WORKSPACES; workspace++) {
+      latencyMillis.add(new ArrayList<>());
+    }
+  }
+
+  /** Returns the highest 99th percentile over the workspaces, from a given one on. */
+  double worstPercentile99(int firstWorkspace) {
+    double worst = 0;
+    for (List<Double> latencies : latencyMillis.subList(firstWorkspace, WORKSPACES)) {
+      List<Double> sorted = latencies.stream().sorted().toList();
+      if (!sorted.isEmpty()) {
+        worst = Math.max(worst, sorted.get((int) (0.99 * (sorted.size() - 1))));
+      }
+    }
+    return worst;
+  }
+
+  /** Returns the lowest share of answers in time over the workspaces, from a given one on. */
+  double worstInTime(int firstWorkspace) {
+    double worst = 1;
+    for (int workspace = firstWorkspace; workspace < WORKSPACES; workspace++) {
+      if (sent[workspace] > 0) {
+        worst = Math.min(worst, (double) inTime[workspace] / sent[workspace]);
+      }
+    }
+    return worst;
+  }
+
+  double attemptsPerRequest() {
+    return logicalRequests == 0 ? 0 : (double) attempts / logicalRequests;
+  }
+
+  double wastedShare() {
+    return usedSlotNanos == 0 ? 0 : (double) wastedSlotNanos / usedSlotNanos;
+  }
+}
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstancePool.java
@@ -25,6 +25,15 @@
    */
   void release(Reservation reservation);
 
+  /**
+   * Gives a slot back that the instance refused to use.
+   *
+   * @param reservation a reservation of this pool, given back once
+   */
+  default void releaseShed(Reservation reservation) {
+    release(reservation);
+  }
+
   /**
    * Tells whether a service has an instance that is not leaving, busy or not.
    *
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
@@ -36,6 +37,7 @@
   private final Clock clock;
   private final InstanceHealth health;
   private final Function<SelectionMode, SelectionPolicy> policies;
+  private final Supplier<SlotLimit> limits;
   private final InvariantMonitor monitor;
   private final @Nullable FailureDomain ownDomain;
   private final Map<ServiceName, ServiceEntry> services = new HashMap<>();
@@ -53,7 +55,7 @@
       InstanceHealth health,
       Function<SelectionMode, SelectionPolicy> policies,
       InvariantMonitor monitor) {
-    this(clock, health, policies, monitor, null);
+    this(clock, health, policies, () -> new AdaptiveSlotLimit(clock), monitor, null);
   }
 
   /**
@@ -62,6 +64,7 @@
    * @param clock clock of the warm-up deadlines
    * @param health judges instances
    * @param policies creates the policy of a service
+   * @param limits creates the limit of a service
    * @param monitor receives violations
    * @param ownDomain failure domain of this VM, or null if it is unknown
    */
@@ -69,8 +72,10 @@
       Clock clock,
       InstanceHealth health,
       Function<SelectionMode, SelectionPolicy> policies,
+      Supplier<SlotLimit> limits,
       InvariantMonitor monitor,
       @Nullable FailureDomain ownDomain) {
+    this.limits = limits;
     this.ownDomain = ownDomain;
     this.clock = clock;
     this.health = health;
@@ -103,14 +108,26 @@
 
   @Override
   public void release(Reservation reservation) {
-    lock.run(
-        () -> {
-          @Nullable InstanceEntry entry =
-              entry(reservation.instance().service()).instances.get(reservation.instance().id());
-          if (entry != null) {
-            entry.slotsInUse = Math.max(0, entry.slotsInUse - 1);
-          }
-        });
+    lock.run(() -> giveBack(reservation, false));
+  }
+
+  @Override
+  public void releaseShed(Reservation reservation) {
+    lock.run(() -> giveBack(reservation, true));
+  }
+
+  private void giveBack(Reservation reservation, boolean shed) {
+    ServiceEntry service = entry(reservation.instance().service());
+    if (shed) {
+      service.limit.shed(service.inUse);
+    } else {
+      service.limit.released(service.inUse);
+    }
+    service.inUse = Math.max(0, service.inUse - 1);
+    @Nullable InstanceEntry entry = service.instances.get(reservation.instance().id());
+    if (entry != null) {
+      entry.slotsInUse = Math.max(0, entry.slotsInUse - 1);
+    }
   }
 
   @Override
@@ -151,6 +168,8 @@
     private InstanceEntry[] index = {};
     private Set<InstanceId> excluded = Set.of();
     private SelectionPolicy policy = policies.apply(SelectionMode.ROUND_ROBIN);
+    private final SlotLimit limit = limits.get();
+    private int inUse;
     private boolean listed;
     private @Nullable Service settings;
 
@@ -187,7 +206,7 @@
     }
 
     private Optional<Reservation> reserve(Set<InstanceId> without) {
-      if (settings == null) {
+      if (settings == null || !limit.mayTake(inUse)) {
         return Optional.empty();
       }
       excluded = without;
@@ -253,6 +272,7 @@
           !entry.isLeaving(),
           "instance=" + entry.instance.id());
       entry.slotsInUse++;
+      inUse++;
       return new Reservation(entry.instance, trial);
     }
 
--- /dev/null
+++ b/kumquatvane-selection/src/test/java/org/kumquatvane/selection/TrackedInstancePoolTest.java
@@ -0,0 +1,225 @@
+package org.kumquatvane.selection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.document.Document;
+import org.kumquatvane.document.EjectionProfile;
+import org.kumquatvane.document.EjectionSettings;
+import org.kumquatvane.document.FleetPolicy;
+import org.kumquatvane.document.InstanceCapacity;
+import org.kumquatvane.document.LimitMechanism;
+import org.kumquatvane.document.QueuePolicy;
+import org.kumquatvane.document.RetryMode;
+import org.kumquatvane.document.RetrySettings;
+import org.kumquatvane.document.SelectionMode;
+import org.kumquatvane.document.Service;
+import org.kumquatvane.ejection.Eligibility;
+import org.kumquatvane.ejection.InstanceHealth;
+import org.kumquatvane.ejection.Observation;
+import org.kumquatvane.testing.FailingInvariantMonitor;
+import org.kumquatvane.testing.LogicalClock;
+
+/** Guards against work for leaving, ejected, full or cold instances and against starved ones. */
+class TrackedInstancePoolTest {
+  private static final ServiceName ROTA = new ServiceName("rota");
+  private static final Duration WARM_UP = Duration.ofSeconds(30);
+  private static final int SLOTS = 3;
+
+  private final LogicalClock clock = new LogicalClock();
+  private final Map<InstanceId, Eligibility> ejected = new HashMap<>();
+  private final Set<InstanceId> toldLeaving = new HashSet<>();
+  private double nearPreference;
+
+  private final InstanceHealth health =
+      new InstanceHealth() {
+        @Override
+        public Eligibility eligibility(ServiceName service, InstanceId instance) {
+          return ejected.getOrDefault(instance, Eligibility.ELIGIBLE);
+        }
+
+        @Override
+        public void observe(ServiceName service, InstanceId instance, Observation observation) {}
+
+        @Override
+        public void instanceLeaving(ServiceName service, InstanceId instance) {
+          toldLeaving.add(instance);
+        }
+      };
+
+  private TrackedInstancePool pool(SelectionMode mode) {
+    TrackedInstancePool pool =
+        new TrackedInstancePool(
+            clock,
+            health,
+            unused ->
+                mode == SelectionMode.ROUND_ROBIN
+                    ? new RoundRobinSelection()
+                    : new TwoChoicesSelection(
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(1), nearPreference),
+            () -> new AdaptiveSlotLimit(clock),
+            new FailingInvariantMonitor(),
+            new FailureDomain("d0"));
+    Service service =
+        new Service(
+            ROTA,
+            new InstanceCapacity(SLOTS, 350, WARM_UP),
+            new QueuePolicy(10, 10),
+            mode,
+            new EjectionSettings(
+                EjectionProfile.FAST, 50, Duration.ofSeconds(10), Duration.ofMinutes(1)),
+            new RetrySettings(RetryMode.NONE, 1, 0, Duration.ZERO));
+    pool.documentInForce(
+        new Document(
+            1,
+            "digest",
+            new FleetPolicy(50, LimitMechanism.STATIC_DIVISION),
+            List.of(),
+            List.of(service),
+            List.of()));
+    return pool;
+  }
+
+  private static List<Instance> instances(int count) {
+    List<Instance> instances = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      instances.add(
+          new Instance(
+              id(i),
+              ROTA,
+              new SocketEndpoint("127.0.0.1", 6000 + i),
+              new FailureDomain("d" + i % 3),
+              false));
+    }
+    return instances;
+  }
+
+  private static InstanceId id(int number) {
+    return new InstanceId("r" + number);
+  }
+
+  /** Reserves and gives back again and again; counts the choices by instance. */
+  private static Map<InstanceId, Integer> choices(TrackedInstancePool pool, int times) {
+    Map<InstanceId, Integer> counts = new HashMap<>();
+    for (int i = 0; i < times; i++) {
+      Reservation reservation = pool.reserve(ROTA, Set.of()).orElseThrow();
+      counts.merge(reservation.instance().id(), 1, Integer::sum);
+      pool.release(reservation);
+    }
+    return counts;
+  }
+
+  @ParameterizedTest
+  @EnumSource(SelectionMode.class)
+  void fillsEverySlotOnceAndNoneTwice(SelectionMode mode) {
+    TrackedInstancePool pool = pool(mode);
+    pool.update(instances(6));
+    for (int i = 0; i < 6 * SLOTS; i++) {
+      assertTrue(pool.reserve(ROTA, Set.of()).isPresent());
+    }
+    assertEquals(Optional.empty(), pool.reserve(ROTA, Set.of()));
+    assertTrue(pool.status().stream().allMatch(status -> status.slotsInUse() == SLOTS));
+  }
+
+  @ParameterizedTest
+  @EnumSource(SelectionMode.class)
+  void avoidsLeavingEjectedAndExcludedInstances(SelectionMode mode) {
+    TrackedInstancePool pool = pool(mode);
+    pool.update(instances(4));
+    pool.markLeaving(ROTA, id(0));
+    ejected.put(id(1), Eligibility.EJECTED);
+    for (int i = 0; i < SLOTS; i++) {
+      assertEquals(id(3), pool.reserve(ROTA, Set.of(id(2))).orElseThrow().instance().id());
+    }
+    assertEquals(Optional.empty(), pool.reserve(ROTA, Set.of(id(2))));
+    assertEquals(Set.of(id(0)), toldLeaving);
+  }
+
+  @Test
+  void sendsTrialsOneByOne() {
+    TrackedInstancePool pool = pool(SelectionMode.TWO_CHOICES);
+    pool.update(instances(3));
+    ejected.put(id(1), Eligibility.TRIAL);
+    Reservation trial = pool.reserve(ROTA, Set.of()).orElseThrow();
+    assertTrue(trial.trial());
+    assertEquals(id(1), trial.instance().id());
+    assertFalse(pool.reserve(ROTA, Set.of()).orElseThrow().trial());
+  }
+
+  @Test
+  void firstListIsWarmAndLaterInstancesWarmUp() {
+    TrackedInstancePool pool = pool(SelectionMode.TWO_CHOICES);
+    pool.update(instances(5));
+    choices(pool, 3_000).values().forEach(count -> assertEquals(600, count, 120));
+    pool.update(instances(6));
+    assertTrue(choices(pool, 6_000).getOrDefault(id(5), 0) < 250, "a cold one gets a tenth");
+    clock.advance(WARM_UP);
+    assertEquals(1_000, choices(pool, 6_000).getOrDefault(id(5), 0), 200);
+  }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {0.5, 1})
+  void nearInstancesAreUsedMoreAndFarOnesAreNotStarved(double preference) {
+    nearPreference = preference;
+    TrackedInstancePool pool = pool(SelectionMode.TWO_CHOICES);
+    pool.update(instances(9));
+    Map<InstanceId, Integer> counts = choices(pool, 9_000);
+    assertTrue(counts.getOrDefault(id(0), 0) > 1_150, "near=" + counts.get(id(0)));
+    assertTrue(counts.getOrDefault(id(1), 0) > 500, "far=" + counts.get(id(1)));
+  }
+
+  @Test
+  void sheddingLowersTheSlotsInUseAndGoodAttemptsRaiseThemAgain() {
+    TrackedInstancePool pool = pool(SelectionMode.TWO_CHOICES);
+    pool.update(instances(6));
+    List<Reservation> held = fill(pool);
+    assertEquals(6 * SLOTS, held.size());
+    held.forEach(pool::releaseShed);
+    held = fill(pool);
+    assertEquals(15, held.size(), "sheds at one moment count once");
+    for (int attempt = 0; attempt < 100; attempt++) {
+      pool.release(held.remove(0));
+      held.addAll(fill(pool));
+    }
+    assertEquals(6 * SLOTS, held.size());
+  }
+
+  private static List<Reservation> fill(TrackedInstancePool pool) {
+    List<Reservation> held = new ArrayList<>();
+    Optional<Reservation> next;
+    while ((next = pool.reserve(ROTA, Set.of())).isPresent()) {
+      held.add(next.get());
+    }
+    return held;
+  }
+
+  @Test
+  void returnsToOtherInstancesWhenTheNearOnesAreBusy() {
+    nearPreference = 1;
+    TrackedInstancePool pool = pool(SelectionMode.TWO_CHOICES);
+    pool.update(instances(9));
+    Map<InstanceId, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 9; i++) {
+      counts.merge(pool.reserve(ROTA, Set.of()).orElseThrow().instance().id(), 1, Integer::sum);
+    }
+    assertTrue(counts.size() >= 6, "nine requests at once spread over " + counts.size());
+  }
+}
