--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/TokenRequestCodec.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/TokenRequestCodec.java
@@ -10,6 +10,7 @@
   private static final int WORKSPACE = 2;
   private static final int COUNT = 3;
   private static final int VALID_NANOS = 4;
+  private static final int COLLECT = 5;
 
   @Override
   public int type() {
@@ -27,6 +28,7 @@
     fields.text(WORKSPACE, message.workspace().value());
     fields.integer(COUNT, message.count());
     fields.integer(VALID_NANOS, message.validNanos());
+    fields.bool(COLLECT, message.collect());
   }
 
   @Override
@@ -35,15 +37,17 @@
     String workspace = "";
     int count = 0;
     long validNanos = 0;
+    boolean collect = false;
     for (int field = fields.next(); field >= 0; field = fields.next()) {
       switch (field) {
         case REQUEST_ID -> requestId = fields.integer();
         case WORKSPACE -> workspace = fields.text();
         case COUNT -> count = fields.smallInteger();
         case VALID_NANOS -> validNanos = fields.integer();
+        case COLLECT -> collect = fields.bool();
         default -> fields.skip();
       }
     }
-    return new TokenRequest(requestId, new WorkspaceId(workspace), count, validNanos);
+    return new TokenRequest(requestId, new WorkspaceId(workspace), count, collect, validNanos);
   }
 }
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -92,7 +92,7 @@
     return List.of(
         new LeaseRequest(5, WORKSPACE, 0.25, 1_000_000_000),
         new LeaseGrant(5, WORKSPACE, 0.125, 3.5, 900_000_000),
-        new TokenRequest(6, WORKSPACE, 2, 100),
+        new TokenRequest(6, WORKSPACE, 2, true, 100),
         new TokenGrant(6, WORKSPACE, 0, 50));
   }
 
