Keep other effects running when one fails; drop messages that exceed a frame

Cause: an effect that threw left its queue blocked for good, and a VM list of more than 1 MiB would have thrown inside it. Change: OrderedEffects runs all effects and throws the first failure at the end; PeerNetwork counts and logs a message that it cannot encode.

--- a/kumquatvane-core/src/main/java/org/kumquatvane/core/OrderedEffects.java
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/OrderedEffects.java
@@ -21,18 +21,29 @@
     queue.add(effect);
   }
 
-  /** Runs the waiting effects unless another thread does; called outside the lock. */
+  /**
+   * Runs the waiting effects unless another thread does; called outside the lock. An effect that
+   * fails does not keep the others from running; the first failure is thrown at the end.
+   */
   public void drain() {
     if (pending.getAndIncrement() != 0) {
       return;
     }
     int seen = 1;
+    RuntimeException failure = null;
     do {
       Runnable effect;
       while ((effect = queue.poll()) != null) {
-        effect.run();
+        try {
+          effect.run();
+        } catch (RuntimeException e) {
+          failure = failure == null ? e : failure;
+        }
       }
       seen = pending.addAndGet(-seen);
     } while (seen != 0);
+    if (failure != null) {
+      throw failure;
+    }
   }
 }
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetwork.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetwork.java
@@ -124,7 +124,16 @@
       traffic.dropped("unknown_peer", 1);
       return;
     }
-    ByteBuffer frame = registry.encode(message);
+    ByteBuffer frame;
+    try {
+      frame = registry.encode(message);
+    } catch (IllegalArgumentException e) {
+      // The sender may be in the middle of a round of messages to all VMs.
+      traffic.dropped("not_encodable", 1);
+      eventLog.record(
+          EventLog.Level.WARNING, "peer_message_not_encodable", LogField.of("error", e));
+      return;
+    }
     int bytes = frame.remaining();
     if (peer.enqueue(frame)) {
       traffic.sent(registry.kind(message), bytes);
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
@@ -25,6 +25,8 @@
 import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.core.SystemClock;
 import org.kumquatvane.core.VmId;
+import org.kumquatvane.distribution.ContentDigest;
+import org.kumquatvane.distribution.DocumentPart;
 import org.kumquatvane.membership.ConfigurationMark;
 import org.kumquatvane.membership.Heartbeat;
 import org.kumquatvane.membership.HeartbeatReply;
@@ -177,6 +179,18 @@
     }
   }
 
+  @Test
+  void messageLongerThanFrameIsDropped() throws Exception {
+    Node first = start("e1", SECRET);
+    Node second = start("e2", SECRET);
+    publish(first, second);
+    ContentDigest digest = ContentDigest.of(new byte[0]);
+    first.network.send(second.id, new DocumentPart(digest, 1, 0, new byte[1 << 20]));
+    assertEquals(1, first.counters.value("peer.dropped.not_encodable"));
+    first.network.send(second.id, MESSAGE);
+    await(() -> second.received.size() == 1);
+  }
+
   @Test
   void fleetSecretIsNotPrinted() {
     byte[] bytes = SECRET.getBytes(StandardCharsets.UTF_8);
