--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LeaseRounds.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LeaseRounds.java
@@ -13,8 +13,6 @@
   /** A round that brought too little is repeated at most this often. */
   private static final long SHORTEST_INTERVAL_NANOS = 250_000_000L;
 
-  private static final double LEASED_OVER_DEMAND = 1.2;
-
   private final ShareTable table;
   private final LeaseSettings settings;
   private final Map<Long, LeaseAsk> asks = new HashMap<>();
@@ -31,12 +29,17 @@
   }
 
   /**
-   * Starts a round if this VM has been collecting and its leases are about to end.
+   * Starts a round if this VM is the collector and its leases are about to end. A VM that took
+   * another one's place for a while stops, since two collectors would split the shares.
    *
    * @param account the workspace
    * @param effects receives the messages
    */
   public void renewIfCollecting(WorkspaceAccount account, Effects effects) {
+    VmId collector = table.collector(account, effects.now());
+    if (collector == null || !table.isSelf(collector)) {
+      return;
+    }
     long sinceNanos = effects.now() - account.roundNanos();
     if (sinceNanos >= settings.renewal().toNanos() && sinceNanos < settings.lease().toNanos()) {
       start(account, effects);
@@ -70,11 +73,11 @@
    */
   public void askCollector(WorkspaceAccount account, VmId collector, Effects effects) {
     double missing =
-        account.demand().perSecond(effects.now()) * LEASED_OVER_DEMAND - account.refillPerSecond();
-    if (account.lendsAll() || missing <= 1 || !account.mayAskForLease(SHORTEST_INTERVAL_NANOS)) {
+        account.usefulFraction(account.demand().perSecond(effects.now())) - account.usable();
+    if (missing <= 0 || !account.mayAskForLease(SHORTEST_INTERVAL_NANOS)) {
       return;
     }
-    double wanted = account.borrowedFrom(collector) + missing / account.rate().requestsPerSecond();
+    double wanted = account.borrowedFrom(collector) + missing;
     ask(account, collector, wanted, effects);
   }
 
