Wait for shares and operations before a VM reports ready

Change: readiness waits for the first agreed view and the clock skew, at most 30 s; signals within one second count as one.

--- a/kumquatvane-cli/src/main/java/org/kumquatvane/cli/Main.java
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/Main.java
@@ -10,6 +10,7 @@
 import org.kumquatvane.cli.serve.SignalStopRequests;
 import org.kumquatvane.cli.status.StatusCommand;
 import org.kumquatvane.cli.trial.TrialCommand;
+import org.kumquatvane.core.SystemClock;
 
 /** Entry point of the binary. */
 public final class Main {
@@ -34,7 +35,7 @@
    */
   static List<Command> commands() {
     return List.of(
-        new ServeCommand(SignalStopRequests::new),
+        new ServeCommand(() -> new SignalStopRequests(new SystemClock())),
         new CheckCommand(),
         new DigestCommand(),
         new TrialCommand(),
--- a/kumquatvane-cli/src/main/java/org/kumquatvane/cli/serve/SignalStopRequests.java
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/serve/SignalStopRequests.java
@@ -2,9 +2,13 @@
 
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
 import org.kumquatvane.cli.ExitCode;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Deadline;
 
 /**
  * Stop requests from SIGTERM and SIGINT: the first begins the planned stop, a second ends the
@@ -14,11 +18,23 @@
  * while requests in flight still end, and the exit code could not be chosen.
  */
 public final class SignalStopRequests implements StopRequests {
+  /**
+   * Signals within this time count as one: Ctrl-C in a terminal reaches the whole process group,
+   * and a supervising script then signals the process once more.
+   */
+  private static final Duration SAME_SIGNAL = Duration.ofSeconds(1);
+
   private final CountDownLatch requested = new CountDownLatch(1);
-  private final AtomicBoolean signalled = new AtomicBoolean();
+  private final AtomicReference<@Nullable Deadline> secondSignalFrom = new AtomicReference<>();
+  private final Clock clock;
 
-  /** Installs the signal handlers. */
-  public SignalStopRequests() {
+  /**
+   * Installs the signal handlers.
+   *
+   * @param clock tells a second signal from a doubled one
+   */
+  public SignalStopRequests(Clock clock) {
+    this.clock = clock;
     handle("TERM");
     handle("INT");
   }
@@ -47,10 +63,14 @@
   }
 
   private void received() {
-    if (!signalled.compareAndSet(false, true)) {
+    if (secondSignalFrom.compareAndSet(null, Deadline.after(clock, SAME_SIGNAL))) {
+      request();
+      return;
+    }
+    Deadline from = secondSignalFrom.get();
+    if (from != null && from.isReached(clock)) {
       Runtime.getRuntime().halt(ExitCode.SECOND_SIGNAL.code());
     }
-    request();
   }
 
   @Override
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -33,6 +33,7 @@
 import org.kumquatvane.platform.PlatformClient;
 import org.kumquatvane.server.internal.DecisionParts;
 import org.kumquatvane.server.internal.FleetParts;
+import org.kumquatvane.server.internal.FleetReadiness;
 import org.kumquatvane.server.internal.InstanceFeed;
 import org.kumquatvane.server.internal.ParsedDocumentIntake;
 import org.kumquatvane.server.internal.ProcessRuntime;
@@ -98,6 +99,11 @@
     ReadinessState readiness = new ReadinessState();
     readiness.require("no_configuration", () -> configuration.current().isPresent());
     readiness.require("no_vm_list", hasVmList::get);
+    FleetReadiness fleetReadiness =
+        new FleetReadiness(runtime.clock(), settings.fleet().clockSkew());
+    fleet.membership().addListener(fleetReadiness);
+    readiness.require("shares_unsettled", fleetReadiness::sharesSettled);
+    readiness.require("operations_unsettled", fleetReadiness::operationsSettled);
     readiness.require("draining", () -> !draining.get());
     admin = createAdmin(readiness, onDrainRequest);
     admin.start();
