--- /dev/null
+++ b/kumquatvane-core/src/test/java/org/kumquatvane/core/RankedLockTest.java
@@ -0,0 +1,31 @@
+package org.kumquatvane.core;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RankedLockTest {
+  /** Guards against deadlocks by locks taken in falling or equal rank. */
+  @ParameterizedTest
+  @CsvSource({"LIMITS, KEYS", "LIMITS, LIMITS", "WORKERS, CONFIGURATION"})
+  void refusesLocksThatDoNotRise(LockRank first, LockRank second) {
+    RankedLock outer = new RankedLock(first);
+    RankedLock inner = new RankedLock(second);
+
+    assertThrows(IllegalStateException.class, () -> outer.run(() -> inner.run(() -> {})));
+    // The failed attempt must not leave a lock behind.
+    assertDoesNotThrow(() -> inner.run(() -> {}));
+  }
+
+  /** Guards against a check that refuses the stated order. */
+  @ParameterizedTest
+  @CsvSource({"KEYS, LIMITS", "CONFIGURATION, WORKERS"})
+  void allowsRisingRanks(LockRank first, LockRank second) {
+    RankedLock outer = new RankedLock(first);
+    RankedLock inner = new RankedLock(second);
+
+    assertDoesNotThrow(() -> outer.run(() -> inner.run(() -> {})));
+  }
+}
--- /dev/null
+++ b/kumquatvane-core/src/test/java/org/kumquatvane/core/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.core;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.http.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-platform/src/test/java/org/kumquatvane/platform/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kumquatvane-telemetry/src/test/java/org/kumquatvane/telemetry/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.telemetry;
+
+import org.jspecify.annotations.NullMarked;
