--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/WorkspaceAccount.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/WorkspaceAccount.java
@@ -9,11 +9,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Invariant;
 import org.kumquatvane.core.InvariantMonitor;
 import org.kumquatvane.core.VmId;
 import org.kumquatvane.core.WorkspaceId;
 import org.kumquatvane.document.RateLimit;
+import org.kumquatvane.limits.LeaseSettings;
 import org.kumquatvane.limits.TokenBucket;
 import org.kumquatvane.membership.Rendezvous;
 import org.kumquatvane.membership.Vm;
@@ -27,9 +29,12 @@
  */
 public final class WorkspaceAccount {
   private static final double ROUNDING = 1e-9;
-  private static final double SMALLEST_USEFUL_CAPACITY = 2;
+  private static final double SMALLEST_USEFUL_CAPACITY = 4;
   private static final double KEPT_OVER_DEMAND = 1.2;
   private static final double LEAST_DEMAND_PER_SECOND = 0.5;
+  private static final long SHORTEST_SUBLEASE_NANOS = 200_000_000L;
+  private static final long SHORTEST_REFUSAL_NANOS = 5_000_000L;
+  private static final long LONGEST_REFUSAL_NANOS = 160_000_000L;
   private static final long IDLE_NANOS = 60_000_000_000L;
 
   /** Longer than any answer to a token request is awaited. */
@@ -52,6 +57,8 @@
   private long usedNanos;
   private long roundNanos;
   private long refusedUntilNanos;
+  private long refusalNanos;
+  private int nextAsked;
   private long leaseAskedNanos;
   private long wakeNanos;
   private List<Vm> orderedFrom = List.of();
@@ -170,8 +177,10 @@
    * @return the tokens taken
    */
   public int takeForOther(int wanted, long holdUntilNanos) {
+    // A fraction that ends or is lent before the tokens are spent would be counted twice.
+    double secure = secureCapacity(holdUntilNanos) - heldAt(settledNanos) + ROUNDING;
     int taken = 0;
-    while (taken < wanted && bucket.take(1, settledNanos)) {
+    while (taken < wanted && taken + 1 <= secure && bucket.take(1, settledNanos)) {
       taken++;
     }
     if (taken > 0) {
@@ -182,34 +191,68 @@
   }
 
   /**
-   * Lends a fraction if enough of it is certain to stay until the deadline.
+   * Lends a fraction that is certain to stay until a deadline. If most of it is borrowed itself,
+   * the deadline lies before the end of the first borrowed lease.
    *
    * @param borrower the VM that asked
    * @param requestId number of its request; one that is not newer is ignored
    * @param wanted largest total fraction for the borrower
-   * @param untilNanos deadline on this VM's clock, already extended by the drift bound
+   * @param validNanos longest time on the borrower's clock
    * @param kept fraction that this VM keeps for its own requests
    * @return what was lent
    */
-  public Lending lend(VmId borrower, long requestId, double wanted, long untilNanos, double kept) {
+  public Lending lend(VmId borrower, long requestId, double wanted, long validNanos, double kept) {
     Long newest = newestLeaseRequest.get(borrower);
     if (newest != null && newest >= requestId) {
       return Lending.NOTHING;
     }
     newestLeaseRequest.put(borrower, requestId);
-    double already = lent.at(borrower, settledNanos);
+    return lend(borrower, wanted, validNanos, kept);
+  }
+
+  private Lending lend(VmId borrower, double wanted, long validNanos, double needed) {
+    double kept = Math.max(needed, heldFraction());
+    long untilNanos = settledNanos + LeaseSettings.extend(validNanos);
+    long shorterNanos = untilNanos;
+    for (long end : borrowed.ends()) {
+      if (end - settledNanos > SHORTEST_SUBLEASE_NANOS) {
+        shorterNanos = Math.min(shorterNanos, end);
+      }
+    }
     double total = Math.min(wanted, lendable(borrower, untilNanos) - kept);
+    double shorter = Math.min(wanted, lendable(borrower, shorterNanos) - kept);
+    if (shorter > 2 * total) {
+      untilNanos = shorterNanos;
+      total = shorter;
+    }
     if (total <= ROUNDING) {
       return Lending.NOTHING;
     }
+    long borrowerNanos = Math.min(validNanos, LeaseSettings.shorten(untilNanos - settledNanos));
+    double already = lent.at(borrower, settledNanos);
     double before = usableAt(settledNanos);
     double added = Math.max(0, total - already);
     double tokens = before <= 0 ? 0 : bucket.level(settledNanos) * Math.min(1, added / before);
+    double most = lendable(borrower, untilNanos);
     lent.add(borrower, total, untilNanos);
-    checkConserved(untilNanos);
+    checkConserved(borrower, most, untilNanos);
     bucket.take(Math.max(0, tokens - ROUNDING), settledNanos);
     resize();
-    return new Lending(total, Math.max(0, tokens - 2 * ROUNDING));
+    return new Lending(total, Math.max(0, tokens - 2 * ROUNDING), borrowerNanos);
+  }
+
+  private double secureCapacity(long untilNanos) {
+    double least = Double.MAX_VALUE;
+    for (long moment : momentsUntil(untilNanos)) {
+      least = Math.min(least, uncommittedAt(moment));
+    }
+    return Math.max(0, least) * rate.burstRequests();
+  }
+
+  /** The fraction behind tokens that were granted to others and may still be unspent. */
+  private double heldFraction() {
+    double tokens = heldAt(settledNanos);
+    return tokens > 0 && rate.burstRequests() > 0 ? tokens / rate.burstRequests() : 0;
   }
 
   /** The least that is left for one borrower at any moment until the deadline. */
@@ -234,12 +277,18 @@
     return moments;
   }
 
-  private void checkConserved(long untilNanos) {
+  /**
+   * Checks that the lent total was there. After a pause dropped what is still lent on, the books
+   * stay short until those leases end, which is no new lending; so a moment counts only if the
+   * borrower did not hold more before.
+   */
+  private void checkConserved(VmId borrower, double most, long untilNanos) {
     for (long moment : momentsUntil(untilNanos)) {
       double left = uncommittedAt(moment);
+      boolean heldMoreBefore = lent.at(borrower, moment) > most + ROUNDING;
       monitor.check(
           Invariant.RATE_CONSERVED,
-          left >= -ROUNDING,
+          left >= -ROUNDING || heldMoreBefore,
           "workspace=" + workspace + " lent more than owned and borrowed by " + -left);
     }
   }
@@ -290,34 +339,26 @@
   }
 
   /**
-   * Returns the tokens a second that the bucket gains.
-   *
-   * @return rate times usable fraction
-   */
-  public double refillPerSecond() {
-    return rate.requestsPerSecond() * usableAt(settledNanos);
-  }
-
-  /**
-   * Tells whether the own capacity is so small that requests can seldom be admitted from it.
+   * Returns the fraction for a demand, or nothing if its bucket would seldom hold a token.
    *
-   * @return whether this VM keeps nothing for itself
+   * @param perSecond requests a second
+   * @return the fraction
    */
-  public boolean lendsAll() {
-    return rate.burstRequests() * tracker.owned() < SMALLEST_USEFUL_CAPACITY;
+  public double usefulFraction(double perSecond) {
+    if (perSecond < LEAST_DEMAND_PER_SECOND || rate.requestsPerSecond() <= 0) {
+      return 0;
+    }
+    double fraction = perSecond * KEPT_OVER_DEMAND / rate.requestsPerSecond();
+    return fraction * rate.burstRequests() < SMALLEST_USEFUL_CAPACITY ? 0 : fraction;
   }
 
   /**
-   * Returns the fraction for the requests at this VM and for those that ask it for tokens.
+   * Returns the fraction that is usable now.
    *
-   * @param nowNanos monotonic time
-   * @return the fraction that is not lent
+   * @return owned and borrowed, without what is lent
    */
-  public double needed(long nowNanos) {
-    double perSecond = demand.perSecond(nowNanos);
-    return lendsAll() || perSecond < LEAST_DEMAND_PER_SECOND || rate.requestsPerSecond() <= 0
-        ? 0
-        : perSecond * KEPT_OVER_DEMAND / rate.requestsPerSecond();
+  public double usable() {
+    return usableAt(settledNanos);
   }
 
   /**
@@ -414,13 +455,26 @@
     return refusedUntilNanos;
   }
 
+  /** Asks no other VM for a while, longer after each refusal in a row. */
+  public void refused() {
+    refusalNanos =
+        Math.min(LONGEST_REFUSAL_NANOS, Math.max(SHORTEST_REFUSAL_NANOS, refusalNanos * 2));
+    refusedUntilNanos = settledNanos + refusalNanos;
+  }
+
+  /** Asks other VMs again, since one had a token. */
+  public void granted() {
+    refusalNanos = 0;
+  }
+
   /**
-   * Sets until when requests are refused without asking again.
+   * Returns each of some VMs in turn.
    *
-   * @param nanos monotonic time
+   * @param vms the VMs
+   * @return the next one, or null if there is none
    */
-  public void refuseUntil(long nanos) {
-    refusedUntilNanos = nanos;
+  public @Nullable VmId nextOf(List<VmId> vms) {
+    return vms.isEmpty() ? null : vms.get(Math.floorMod(nextAsked++, vms.size()));
   }
 
   /**
@@ -488,9 +542,10 @@
    *
    * @param fraction total fraction of the borrower
    * @param tokens tokens that move with it
+   * @param validNanos how long the borrower holds it, counted from the sending of its request
    */
-  public record Lending(double fraction, double tokens) {
-    static final Lending NOTHING = new Lending(0, 0);
+  public record Lending(double fraction, double tokens, long validNanos) {
+    static final Lending NOTHING = new Lending(0, 0, 0);
   }
 
   private record SeenRequest(VmId borrower, long requestId) {}
