--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HeadReader.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HeadReader.java
@@ -81,7 +81,7 @@
             || decoded.chars().anyMatch(Character::isISOControl)
             || decoded.contains("//")
             || path.toLowerCase(java.util.Locale.ROOT).contains("%2f")
-            || decoded.indexOf('%') >= 0
+            || PercentEncoding.decodeOnce(path).indexOf('%') >= 0
             || hasDotSegment(decoded);
     return isAmbiguous
         ? malformed("the path has an empty, dot or encoded-slash segment or a control character")
