Write header names in lower case, and never leave a caller without an answer

Cause: over HTTP/2 every answer failed, since Netty refuses header names with capitals; the exception is a checked one thrown past the compiler, so the worker pool did not log it as an event and the caller waited for its whole timeout. Seen by hand with curl over h2c and TLS; no test covered HTTP/2. Change: own and relayed names are in lower case; the worker pool reports any throwable; a delivery that fails answers internal_error.

--- a/kumquatvane-core/src/main/java/org/kumquatvane/core/FixedWorkerPool.java
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/FixedWorkerPool.java
@@ -71,7 +71,7 @@
   private void runSafely(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException defect) {
+    } catch (Throwable defect) { // Libraries throw checked exceptions past the compiler, too.
       eventLog.record(
           EventLog.Level.WARNING,
           "worker_task_failed",
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -18,12 +18,14 @@
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
 import org.kumquatvane.core.ExecutionStatus;
+import org.kumquatvane.core.Reason;
 import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.engine.AnswerHead;
 import org.kumquatvane.engine.Attempt;
 import org.kumquatvane.engine.AttemptListener;
 import org.kumquatvane.engine.AttemptPlan;
 import org.kumquatvane.engine.DeliveryListener;
+import org.kumquatvane.engine.Refusal;
 import org.kumquatvane.http.BackendConnections;
 
 /** One attempt over one connection, which nothing else uses until the answer has been read. */
@@ -199,16 +201,22 @@
       throw new IllegalStateException("no answer to deliver");
     }
     exchange.endBody();
-    exchange.deliver(
-        received,
-        attempts,
+    AnswerRelay relay =
         new AnswerRelay(
             received,
             declaredLength(received),
             plan.captureAnswer(),
             delivery,
             this::giveBack,
-            this::discardConnection));
+            this::discardConnection);
+    try {
+      exchange.deliver(received, attempts, relay);
+    } catch (RuntimeException defect) {
+      // Without an answer the caller would wait for its whole timeout.
+      relay.drainUnlessSubscribed();
+      exchange.refuse(Refusal.of(Reason.INTERNAL_ERROR, "the answer cannot be passed on"));
+      throw defect;
+    }
   }
 
   private OptionalLong declaredLength(StreamingHttpResponse received) {
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HttpExchange.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HttpExchange.java
@@ -114,7 +114,7 @@
     StreamingHttpResponse response =
         responses.newResponse(HttpResponseStatus.of(recorded.status(), ""));
     for (AnswerHeader header : recorded.headers()) {
-      response.addHeader(header.name(), header.value());
+      response.addHeader(HeaderNames.lowerCase(header.name()), header.value());
     }
     byte[] bytes = recorded.body();
     stamp(response, ExecutionStatus.RUN, 0);
@@ -187,7 +187,7 @@
     StreamingHttpResponse response = responses.newResponse(upstream.status());
     for (Map.Entry<CharSequence, CharSequence> field : upstream.headers()) {
       if (HeaderNames.isForwardedToCaller(field.getKey())) {
-        response.headers().add(field.getKey(), field.getValue());
+        response.headers().add(HeaderNames.lowerCase(field.getKey()), field.getValue());
       }
     }
     stamp(response, ExecutionStatus.RUN, attempts);
