--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/LeasedShareLimiter.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/LeasedShareLimiter.java
@@ -203,6 +203,15 @@
     }
   }
 
+  /**
+   * Returns the fraction of every workspace's rate and burst that this VM owns now, for operators.
+   *
+   * @return 0 to 1; what is lent to other VMs is included
+   */
+  public double ownedFraction() {
+    return lock.call(() -> table.tracker().owned());
+  }
+
   private void locked(Effects.Step step) {
     // The view is read first, since the lock of the membership ranks below this one.
     Optional<AgreedView> view = membership.agreedView();
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -14,6 +14,7 @@
 import org.kumquatvane.admin.InstancesReport;
 import org.kumquatvane.admin.PeersReport;
 import org.kumquatvane.admin.WorkReport;
+import org.kumquatvane.admin.WorkspacesReport;
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LogField;
@@ -134,6 +135,8 @@
         List.of(
             new AdminRoute("/v1/configuration", new ConfigurationReport(configuration)),
             new AdminRoute("/v1/instances", new InstancesReport(decisions.instances())),
+            new AdminRoute(
+                "/v1/workspaces", new WorkspacesReport(configuration, decisions::ownedFraction)),
             new AdminRoute("/v1/peers", new PeersReport(fleet.membership())),
             new AdminRoute(
                 "/v1/work",
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/DecisionParts.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/DecisionParts.java
@@ -191,6 +191,15 @@
     return keys;
   }
 
+  /**
+   * Returns what this VM owns of every workspace's rate and burst.
+   *
+   * @return 0 to 1
+   */
+  public double ownedFraction() {
+    return shares.ownedFraction();
+  }
+
   /** Hands the operation records over to the other VMs, before this one departs. */
   public void handOver() {
     ledger.handOver();
