Wait for the peer listener's end when it is closed

Ruled out: another process, since the port was taken by the closed listener of the same test. Change: close() waits for the I/O thread, at most 2 s; addressIsFreeAfterClose repeats the case 20 times. Without the change the new test passed as well in one run of 20, so the race needs a busy machine; the cause is taken from the code.

--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetwork.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetwork.java
@@ -38,6 +38,8 @@
 
 /** TCP connections between the VMs of a fleet, all on one I/O thread. */
 public final class PeerNetwork implements PeerSender, VmListListener, AutoCloseable {
+  private static final long LONGEST_CLOSE_MILLIS = 2_000;
+
   /** How often deadlines of connections are checked and acknowledgements are sent. */
   private static final long SWEEP_MILLIS = 250;
 
@@ -259,13 +261,26 @@
     }
   }
 
-  /** Closes all connections; queued messages are lost. */
+  /**
+   * Closes all connections and the listener; queued messages are lost. Waits for the I/O thread, so
+   * that the address is free when this method returns.
+   */
   @Override
   public void close() {
     closed = true;
     selector.wakeup();
     if (!thread.isAlive()) {
       closeAll();
+    } else if (Thread.currentThread() != thread) {
+      awaitEndOfThread();
+    }
+  }
+
+  private void awaitEndOfThread() {
+    try {
+      thread.join(LONGEST_CLOSE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -114,6 +115,14 @@
     }
   }
 
+  /** Guards against an address that is still in use after its listener was closed. */
+  @RepeatedTest(20)
+  void addressIsFreeAfterClose() throws Exception {
+    Node first = start("e1", SECRET);
+    first.close();
+    nodes.add(new Node("e1", SECRET, first.port));
+  }
+
   @Test
   void lostConnectionIsOpenedAgain() throws Exception {
     Node first = start("e1", SECRET);
