Buffer answers beside the connection and average the fleet's demand

Cause of the cut answers: replacing the payload of a ServiceTalk response subscribes to the drained one again; the relay now takes the payload as its own argument. Cause of the wrong limits: each VM's last interval counted for 1.2 s, so sparse arrivals were counted up to four times; demand is now a decaying count. Ruled out: half-closure (the callers kept their connections open) and the store (documents were in force).

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AnswerRelay.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AnswerRelay.java
@@ -30,6 +30,7 @@
   private static final int MAXIMUM_CAPTURED_BYTES = 16 * 1024;
 
   private final StreamingHttpResponse upstream;
+  private final Publisher<Buffer> payload;
   private final OptionalLong declaredLength;
   private final boolean capture;
   private final DeliveryListener listener;
@@ -44,6 +45,7 @@
    * Creates a relay.
    *
    * @param upstream the answer
+   * @param payload its body, which is subscribed to once
    * @param declaredLength its length if it has a body of a declared length
    * @param capture whether a short answer is kept
    * @param listener learns the end
@@ -52,12 +54,14 @@
    */
   AnswerRelay(
       StreamingHttpResponse upstream,
+      Publisher<Buffer> payload,
       OptionalLong declaredLength,
       boolean capture,
       DeliveryListener listener,
       Runnable onWhole,
       Runnable onBroken) {
     this.upstream = upstream;
+    this.payload = payload;
     this.declaredLength = declaredLength;
     this.capture = capture;
     this.listener = listener;
@@ -78,8 +82,7 @@
   }
 
   private Publisher<Buffer> body() {
-    return upstream
-        .payloadBody()
+    return payload
         .beforeOnNext(this::received)
         .concat(Completable.defer(this::checkLength))
         .beforeFinally(
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -52,6 +52,9 @@
   private volatile @Nullable Cancellable pending;
   private volatile boolean cancelled;
 
+  /** Body of an answer that was read whole; null while it is still on the connection. */
+  private volatile @Nullable Publisher<Buffer> buffered;
+
   BackendAttempt(
       HttpExchange exchange,
       BackendConnections connections,
@@ -156,7 +159,7 @@
             return;
           }
           giveBack();
-          received.payloadBody(Publisher.from(exchange.allocator().wrap(bytes)));
+          buffered = Publisher.from(exchange.allocator().wrap(bytes));
           listener.answered(this, head);
         },
         failure -> {
@@ -206,6 +209,7 @@
     if (received != null) {
       new AnswerRelay(
               received,
+              payload(received),
               declaredLength(received),
               false,
               new IgnoringDeliveryListener(),
@@ -225,6 +229,7 @@
     AnswerRelay relay =
         new AnswerRelay(
             received,
+            payload(received),
             declaredLength(received),
             plan.captureAnswer(),
             delivery,
@@ -240,6 +245,11 @@
     }
   }
 
+  private Publisher<Buffer> payload(StreamingHttpResponse received) {
+    Publisher<Buffer> whole = buffered;
+    return whole == null ? received.payloadBody() : whole;
+  }
+
   private OptionalLong declaredLength(StreamingHttpResponse received) {
     return hasBody(received) ? Bodies.declaredLength(received.headers()) : OptionalLong.empty();
   }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
@@ -153,7 +153,7 @@
     boolean admitted =
         shareValidUntil.isReached(clock)
             ? demand.admitAlone(1.0 / vms, clock.monotonicNanos())
-            : demand.admitByFraction();
+            : demand.admitByFraction(clock);
     return admitted ? new LimitDecision.Admitted() : new LimitDecision.RateLimited(RETRY_AFTER);
   }
 
@@ -215,7 +215,6 @@
     reporters.values().removeIf(until -> until.isReached(clock));
     reporters.put(from, Deadline.after(clock, LIFE));
     double part = Math.min(1, (double) reporters.size() / Math.max(1, vms));
-    double seconds = Math.max(1, report.elapsedMillis()) / MILLIS_PER_SECOND;
     List<DemandShare.Share> shares = new ArrayList<>();
     for (DemandReport.Demand demand : report.demands()) {
       @Nullable LocalDemand known = local.get(demand.workspace());
@@ -226,8 +225,8 @@
           new RateLimit(
               known.limit().requestsPerSecond() * part, known.limit().burstRequests() * part);
       FleetDemand total =
-          fleet.computeIfAbsent(demand.workspace(), unused -> new FleetDemand(clock, LIFE));
-      total.report(from, demand.arrived() / seconds, demand.admitted(), limit);
+          fleet.computeIfAbsent(demand.workspace(), unused -> new FleetDemand(clock));
+      total.report(demand.arrived(), demand.admitted(), limit);
       shares.add(
           new DemandShare.Share(demand.workspace(), total.fraction(limit), total.perSecond()));
     }
@@ -245,7 +244,7 @@
               for (DemandShare.Share share : message.shares()) {
                 @Nullable LocalDemand demand = local.get(share.workspace());
                 if (demand != null && share.fraction() >= 0 && share.fraction() <= 1) {
-                  demand.setShare(share.fraction(), share.fleetRate());
+                  demand.setShare(share.fraction(), share.fleetRate(), Deadline.after(clock, LIFE));
                 }
               }
               shareValidUntil = Deadline.after(clock, LIFE);
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/FleetDemand.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/FleetDemand.java
@@ -1,11 +1,6 @@
 package org.kumquatvane.limits.internal;
 
-import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import org.kumquatvane.core.Clock;
-import org.kumquatvane.core.Deadline;
-import org.kumquatvane.core.VmId;
 import org.kumquatvane.document.RateLimit;
 
 /**
@@ -18,44 +13,42 @@
   /** Time ahead for which a fraction is worked out: until the next reports have their effect. */
   private static final double HORIZON_SECONDS = 0.8;
 
+  /** Time over which the demand is averaged; two report intervals. */
+  private static final double AVERAGING_SECONDS = 0.6;
+
   private final Clock clock;
-  private final Duration reportLife;
-  private final Map<VmId, PeerDemand> peers = new HashMap<>();
   private double level;
+  private double recentArrivals;
   private long updatedNanos;
 
-  private record PeerDemand(double perSecond, Deadline validUntil) {}
-
   /**
    * Creates an empty bucket, since an earlier coordinator may have spent its burst just before.
    *
-   * @param clock clock of the deadlines
-   * @param reportLife time for which a VM's demand counts
+   * @param clock clock of the bucket
    */
-  public FleetDemand(Clock clock, Duration reportLife) {
+  public FleetDemand(Clock clock) {
     this.clock = clock;
-    this.reportLife = reportLife;
     updatedNanos = clock.monotonicNanos();
   }
 
   /**
    * Takes a report into account.
    *
-   * @param vm the reporting VM
-   * @param arrivedPerSecond requests a second that arrived at it
+   * @param arrived requests that arrived at a VM since its last report
    * @param admitted requests that it admitted
    * @param limit rate and burst that the reporting VMs may use together
    */
-  public void report(VmId vm, double arrivedPerSecond, long admitted, RateLimit limit) {
-    refill(limit);
+  public void report(long arrived, long admitted, RateLimit limit) {
+    pass(limit);
     level -= admitted;
-    peers.put(vm, new PeerDemand(arrivedPerSecond, Deadline.after(clock, reportLife)));
+    recentArrivals += arrived;
   }
 
-  private void refill(RateLimit limit) {
+  private void pass(RateLimit limit) {
     long now = clock.monotonicNanos();
-    double refilled = (now - updatedNanos) / NANOS_PER_SECOND * limit.requestsPerSecond();
-    level = Math.min(limit.burstRequests(), level + Math.max(0, refilled));
+    double seconds = Math.max(0, now - updatedNanos) / NANOS_PER_SECOND;
+    level = Math.min(limit.burstRequests(), level + seconds * limit.requestsPerSecond());
+    recentArrivals *= Math.exp(-seconds / AVERAGING_SECONDS);
     updatedNanos = now;
   }
 
@@ -65,8 +58,7 @@
    * @return requests a second
    */
   public double perSecond() {
-    peers.values().removeIf(demand -> demand.validUntil().isReached(clock));
-    return peers.values().stream().mapToDouble(PeerDemand::perSecond).sum();
+    return recentArrivals / AVERAGING_SECONDS;
   }
 
   /**
@@ -76,7 +68,7 @@
    * @return 0 to 1
    */
   public double fraction(RateLimit limit) {
-    refill(limit);
+    pass(limit);
     double expected = perSecond() * HORIZON_SECONDS;
     double available = Math.max(0, level + limit.requestsPerSecond() * HORIZON_SECONDS);
     return expected <= available ? 1 : available / expected;
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LocalDemand.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LocalDemand.java
@@ -1,6 +1,8 @@
 package org.kumquatvane.limits.internal;
 
 import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Deadline;
 import org.kumquatvane.document.RateLimit;
 import org.kumquatvane.limits.TokenBucket;
 
@@ -16,7 +18,8 @@
   private long arrived;
   private long admitted;
   private double perSecond;
-  private double fraction = 1;
+  private double share = 1;
+  private @Nullable Deadline shareUntil;
   private double credit = 1;
   private double fleetRate;
   private @Nullable TokenBucket alone;
@@ -56,9 +59,11 @@
    *
    * @param newest part of the requests that may be admitted
    * @param rate requests a second at the whole fleet
+   * @param validUntil when the part no longer says anything of the demand
    */
-  public void setShare(double newest, double rate) {
-    fraction = newest;
+  public void setShare(double newest, double rate, Deadline validUntil) {
+    share = newest;
+    shareUntil = validUntil;
     fleetRate = rate;
     alone = null;
   }
@@ -66,10 +71,13 @@
   /**
    * Decides about a request by the coordinator's fraction.
    *
+   * @param clock clock of the fraction's deadline
    * @return whether it is admitted
    */
-  public boolean admitByFraction() {
+  public boolean admitByFraction(Clock clock) {
     arrived++;
+    Deadline until = shareUntil;
+    double fraction = until == null || until.isReached(clock) ? 1 : share;
     credit = Math.min(1, credit + fraction);
     if (fraction < 1 && credit < 1) {
       return false;
--- a/kumquatvane-telemetry/src/main/java/org/kumquatvane/telemetry/LogSetup.java
+++ b/kumquatvane-telemetry/src/main/java/org/kumquatvane/telemetry/LogSetup.java
@@ -4,6 +4,7 @@
 import java.io.FileOutputStream;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
+import java.util.List;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -15,6 +16,10 @@
 public final class LogSetup {
   private static final String OWN_PREFIX = "event=";
 
+  /** Held here, since the logging system forgets the levels of loggers that nobody holds. */
+  private static final List<Logger> LIBRARIES =
+      List.of(Logger.getLogger("io.servicetalk"), Logger.getLogger("io.netty"));
+
   private LogSetup() {}
 
   /**
@@ -32,8 +37,7 @@
     handler.setFormatter(new LineFormatter(vm));
     root.addHandler(handler);
     // Libraries report each broken connection as a warning, which is normal work for a proxy.
-    Logger.getLogger("io.servicetalk").setLevel(Level.SEVERE);
-    Logger.getLogger("io.netty").setLevel(Level.SEVERE);
+    LIBRARIES.forEach(logger -> logger.setLevel(Level.SEVERE));
   }
 
   private static final class LineFormatter extends Formatter {
