Test the parts of the entry fleet in logical time; log each decision on a request

Faults that the tests found: a forgotten VM came back from old reports of far VMs; a full report was sent to every receiver once one of them was a seed; a follower published items before it had noticed the return of the source; a VM with few requests could exceed the fleet's retry budget.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -350,8 +350,9 @@
         lock.call(
             () -> {
               if (report.complete()) {
-                publish(applyEverything(report.items(), report.revision()));
+                List<SourceItem> all = applyEverything(report.items(), report.revision());
                 confirmed();
+                publish(all);
                 return false;
               }
               if (report.fromRevision() > revision) {
@@ -361,8 +362,9 @@
                 }
                 return due;
               }
-              publish(applyChanges(report.items(), report.revision()));
+              List<SourceItem> changed = applyChanges(report.items(), report.revision());
               confirmed();
+              publish(changed);
               return false;
             });
     effects.drain();
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
@@ -35,6 +35,7 @@
   private volatile boolean isCancelled;
   private boolean recorded;
   private boolean wasShed;
+  private volatile int answerStatus;
 
   AttemptStep(
       RequestFlow flow,
@@ -161,6 +162,7 @@
               request.route().id(),
               Duration.ofNanos(dependencies.clock().monotonicNanos() - startedNanos));
     }
+    answerStatus = head.status();
     running.deliver(flow.attemptsMade(), this);
   }
 
@@ -171,7 +173,7 @@
         .resume(
             () -> {
               releaseSlot();
-              flow.answered(resultOf(captured));
+              flow.answered(resultOf(captured), answerStatus, "whole");
             });
   }
 
@@ -194,7 +196,7 @@
               observe(Observation.Kind.ANSWER_INVALID);
               releaseSlot();
               dependencies.counters().add("answers.cut", 1);
-              flow.answered(new OperationResult.Unknown());
+              flow.answered(new OperationResult.Unknown(), answerStatus, "cut");
             });
   }
 
@@ -205,7 +207,8 @@
         .resume(
             () -> {
               releaseSlot();
-              flow.answered(new OperationResult.FinishedWithoutAnswer());
+              flow.answered(
+                  new OperationResult.FinishedWithoutAnswer(), answerStatus, "caller_left");
             });
   }
 
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -1,5 +1,11 @@
 package org.kumquatvane.engine.internal;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.kumquatvane.core.EventLog;
+import org.kumquatvane.core.LogField;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -59,6 +65,7 @@
   private volatile Scheduler.@Nullable Scheduled queueDeadline;
   private @Nullable Operation operation;
   private int attemptsMade;
+  private String lastInstance = "";
   private boolean mayHaveRun;
 
   /**
@@ -109,7 +116,9 @@
       recordOperation();
     } else if (decision instanceof LimitDecision.RateLimited limited) {
       refuse(
-          Refusal.of(Reason.RATE_LIMITED, "workspace " + request.workspace() + " is over its rate")
+          Refusal.of(
+                  Reason.RATE_LIMITED,
+                  "workspace " + request.workspace() + " is over its rate: " + limited.basis())
               .withRetryAfter(limited.retryAfter()));
     } else {
       refuse(Refusal.of(Reason.SHARE_UNSETTLED, "this VM has no share of the rate yet"));
@@ -245,6 +254,7 @@
     }
     dependencies.counters().add("attempts.started", 1);
     tried.add(reservation.instance().id());
+    lastInstance = reservation.instance().id().value();
     AttemptStep step = new AttemptStep(this, dependencies, request, reservation);
     current = step;
     step.start(exchange, operation != null);
@@ -260,6 +270,7 @@
       dependencies.crashGuard().instanceLost(fingerprint, instance);
     }
     RetryDecision decision = decideRetry(failure);
+    logAttempt(failure, instanceGone, decision instanceof RetryDecision.Retry ? "retry" : "end");
     if (decision instanceof RetryDecision.Retry retry && !callerLeft) {
       dependencies.counters().count(retry.reason());
       dependencies.scheduler().schedule(retry.notBefore(), this::retry);
@@ -281,6 +292,7 @@
   /** Makes another attempt after one that was dropped; its slot has been given back. */
   void attemptDropped(AttemptFailure failure, RetryDecision.Retry retry) {
     mayHaveRun |= !failure.isKnownNotRun();
+    logAttempt(failure, false, "retry");
     dependencies.counters().count(retry.reason());
     dependencies.scheduler().schedule(retry.notBefore(), this::retry);
     dispatcher.dispatch(request.service().name());
@@ -340,10 +352,15 @@
     }
   }
 
-  /** Ends the request after its answer was passed on whole. */
-  void answered(OperationResult result) {
+  /** Ends the request after its answer was passed on, whole or as far as it came. */
+  void answered(OperationResult result, int status, String delivery) {
     finishOperation(result);
-    end();
+    if (end()) {
+      log(
+          "request_answered",
+          LogField.of("status", status),
+          LogField.of("delivery", delivery));
+    }
     dispatcher.dispatch(request.service().name());
   }
 
@@ -369,7 +386,39 @@
   void abandon() {
     dependencies.counters().add("requests.abandoned", 1);
     finishOperation(mayHaveRun ? new OperationResult.Unknown() : new OperationResult.NotRun());
-    end();
+    if (end()) {
+      log("request_abandoned", LogField.of("may_have_run", mayHaveRun));
+    }
+  }
+
+  /** Logs a decision about the request with what is known of it. */
+  private void log(String event, LogField... outcome) {
+    long now = dependencies.clock().monotonicNanos();
+    List<LogField> fields = new ArrayList<>();
+    fields.add(LogField.of("request", request.head().id()));
+    fields.add(LogField.of("workspace", request.workspace()));
+    fields.add(LogField.of("route", request.route().id()));
+    fields.add(LogField.of("service", request.service().name()));
+    fields.add(LogField.of("priority", request.priority()));
+    fields.add(LogField.of("attempts", attemptsMade));
+    fields.add(LogField.of("instance", lastInstance));
+    fields.add(LogField.of("total_ms", millis(now - request.head().arrivalNanos())));
+    fields.add(LogField.of("left_ms", millis(request.deadline().nanos() - now)));
+    fields.addAll(List.of(outcome));
+    dependencies.eventLog().record(EventLog.Level.INFO, event, fields.toArray(LogField[]::new));
+  }
+
+  private static long millis(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nanos);
+  }
+
+  /** Logs an attempt that did not end with an answer that was passed on. */
+  private void logAttempt(AttemptFailure failure, boolean instanceGone, String next) {
+    log(
+        "attempt_failed",
+        LogField.of("failure", failure.name().toLowerCase(Locale.ROOT)),
+        LogField.of("instance_gone", instanceGone),
+        LogField.of("next", next));
   }
 
   private Refusal notRunOrUnknown(Reason reason, String detail) {
@@ -393,6 +442,11 @@
     if (end()) {
       dependencies.counters().count(refusal.reason());
       exchange.refuse(refusal);
+      log(
+          "request_refused",
+          LogField.of("reason", refusal.reason().code()),
+          LogField.of("execution", refusal.execution().token()),
+          LogField.of("detail", refusal.detail()));
     }
   }
 
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
@@ -150,11 +150,15 @@
     if (demand.limit().isUnlimited()) {
       return new LimitDecision.Admitted();
     }
+    boolean alone = shareValidUntil.isReached(clock);
     boolean admitted =
-        shareValidUntil.isReached(clock)
+        alone
             ? demand.admitAlone(1.0 / vms, clock.monotonicNanos())
             : demand.admitByFraction(clock);
-    return admitted ? new LimitDecision.Admitted() : new LimitDecision.RateLimited(RETRY_AFTER);
+    return admitted
+        ? new LimitDecision.Admitted()
+        : new LimitDecision.RateLimited(
+            RETRY_AFTER, demand.basis() + (alone ? " alone=true vms=" + vms : " alone=false"));
   }
 
   private void report() {
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/LimitDecision.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/LimitDecision.java
@@ -11,8 +11,18 @@
    * No token is left.
    *
    * @param retryAfter time after which a token is expected
+   * @param basis what decided it, for the log: rates, parts and where they come from
    */
-  record RateLimited(Duration retryAfter) implements LimitDecision {}
+  record RateLimited(Duration retryAfter, String basis) implements LimitDecision {
+    /**
+     * Creates a decision by this VM's own bucket alone.
+     *
+     * @param retryAfter time after which a token is expected
+     */
+    public RateLimited(Duration retryAfter) {
+      this(retryAfter, "bucket of this VM is empty");
+    }
+  }
 
   /** This VM owns no share yet and found no VM that lends a token. */
   record Unsettled() implements LimitDecision {}
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LocalDemand.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LocalDemand.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.limits.internal;
 
+import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.Deadline;
@@ -112,6 +113,21 @@
     return true;
   }
 
+  /**
+   * Describes what decides about requests, for the log.
+   *
+   * @return limit and demand of the fleet, and the part that is admitted
+   */
+  public String basis() {
+    return String.format(
+        Locale.ROOT,
+        "rate=%.1f burst=%.1f fleet_rate=%.1f fraction=%.2f",
+        limit.requestsPerSecond(),
+        limit.burstRequests(),
+        fleetRate,
+        share);
+  }
+
   /**
    * Tells whether there is anything to report.
    *
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipMembership.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipMembership.java
@@ -35,14 +35,29 @@
   /** Entries in an ordinary report beside the sender's own; about 1 KB. */
   private static final int SAMPLE = 20;
 
+  /** New VMs in a report beyond the sample; a fleet that starts at once spreads within seconds. */
+  private static final int MAXIMUM_NEWS = 160;
+
+  /** Reports of this VM that name a new VM first; others tell it on. */
+  private static final int TELLINGS = 8;
+
+  /** Entries of other domains in an ordinary report; they need be known less exactly. */
+  private static final int FAR_SAMPLE = 10;
+
+  /** VMs of other domains are heard of through others only, and so count as down later. */
+  private static final int FAR_PATIENCE = 3;
+
   /** VMs of a domain that exchange reports with the other domains. */
   private static final int BRIDGES = 2;
 
-  /** Seeds are asked this often although others are known, so that two halves find each other. */
+  /**
+   * Bridges ask the seeds every so many intervals although others are known, so that two halves of
+   * a fleet find each other.
+   */
   private static final int SEED_EVERY = 5;
 
-  /** Intervals at the start in which the seeds are asked each time. */
-  private static final int STARTING = 5;
+  /** Intervals at the start in which every VM asks the seeds. */
+  private static final int STARTING = 2;
 
   private static final String BRIDGE_KEY = "bridge";
 
@@ -67,6 +82,7 @@
     private Deadline downAt;
     private Deadline forgottenAt;
     private boolean reportedDown;
+    private int tellings = TELLINGS;
 
     private Entry(Member member, Deadline downAt, Deadline forgottenAt) {
       this.member = member;
@@ -134,41 +150,44 @@
   }
 
   private void round() {
-    List<VmId> receivers = new ArrayList<>();
-    MemberReport report =
-        lock.call(
-            () -> {
-              heartbeat++;
-              receivers.addAll(receivers());
-              return report(receivers.stream().anyMatch(this::isSeed));
-            });
-    receivers.forEach(receiver -> sender.send(receiver, report));
+    List<VmId> peers = new ArrayList<>();
+    List<VmId> asked = new ArrayList<>();
+    List<MemberReport> reports = new ArrayList<>();
+    lock.run(
+        () -> {
+          heartbeat++;
+          boolean isBridge = addPeers(peers);
+          addSeeds(asked, isBridge, peers.isEmpty());
+          reports.add(report());
+          reports.add(new MemberReport(reports.get(0).members(), true));
+        });
+    peers.forEach(peer -> sender.send(peer, reports.get(0)));
+    asked.forEach(seed -> sender.send(seed, reports.get(1)));
     if (expire()) {
       publish();
     }
     scheduler.schedule(Deadline.after(clock, settings.interval()), this::round);
   }
 
-  private boolean isSeed(VmId vm) {
-    return seeds.stream().anyMatch(seed -> seed.toString().equals(vm.value()));
-  }
-
-  private List<VmId> receivers() {
-    List<VmId> receivers = new ArrayList<>();
+  private boolean addPeers(List<VmId> peers) {
     List<Vm> near = liveIn(self.failureDomain());
-    addRandom(receivers, near);
-    if (isBridge(near)) {
+    addRandom(peers, near);
+    boolean isBridge = isBridge(near);
+    if (isBridge) {
       for (FailureDomain domain : otherDomains()) {
-        addRandom(receivers, liveIn(domain));
+        addRandom(peers, liveIn(domain));
       }
     }
-    if (heartbeat <= STARTING || heartbeat % SEED_EVERY == 0 || receivers.isEmpty()) {
+    return isBridge;
+  }
+
+  private void addSeeds(List<VmId> asked, boolean isBridge, boolean isLonely) {
+    if (heartbeat <= STARTING || isLonely || (isBridge && heartbeat % SEED_EVERY == 0)) {
       seeds.stream()
           .map(seed -> new VmId(seed.toString()))
-          .filter(seed -> !seed.equals(self.id()) && !receivers.contains(seed))
-          .forEach(receivers::add);
+          .filter(seed -> !seed.equals(self.id()))
+          .forEach(asked::add);
     }
-    return receivers;
   }
 
   private void addRandom(List<VmId> receivers, List<Vm> vms) {
@@ -204,20 +223,34 @@
     return !entry.downAt.isReached(clock) && entry.member.vm().state() == VmState.LIVE;
   }
 
-  private MemberReport report(boolean wantsAnswer) {
-    List<Member> known = new ArrayList<>();
+  /** Writes the own entry, then VMs that few others may know yet, then a sample of the others. */
+  private MemberReport report() {
+    List<Member> members = new ArrayList<>();
+    members.add(ownEntry());
+    List<Member> near = new ArrayList<>();
+    List<Member> far = new ArrayList<>();
     for (Entry entry : entries.values()) {
-      if (!entry.downAt.isReached(clock)) {
-        known.add(entry.member);
+      if (entry.downAt.isReached(clock)) {
+        continue;
+      }
+      if (entry.tellings > 0 && members.size() < MAXIMUM_NEWS) {
+        entry.tellings--;
+        members.add(entry.member);
+      } else {
+        (isNear(entry.member.vm()) ? near : far).add(entry.member);
       }
     }
-    List<Member> members = new ArrayList<>();
-    members.add(ownEntry());
-    members.addAll(
-        known.size() <= SAMPLE || wantsAnswer
-            ? known.subList(0, Math.min(known.size(), MemberReport.MAXIMUM_ENTRIES - 1))
-            : ListSampler.sample(random, known, SAMPLE));
-    return new MemberReport(members, wantsAnswer);
+    members.addAll(sample(near, SAMPLE));
+    members.addAll(sample(far, FAR_SAMPLE));
+    return new MemberReport(members, false);
+  }
+
+  private List<Member> sample(List<Member> members, int size) {
+    return members.size() <= size ? members : ListSampler.sample(random, members, size);
+  }
+
+  private boolean isNear(Vm vm) {
+    return vm.failureDomain().equals(self.failureDomain());
   }
 
   private Member ownEntry() {
@@ -237,8 +270,15 @@
     }
   }
 
+  /** Answers with everything, since the sender may have just started. */
   private MemberReport answer() {
-    return new MemberReport(report(true).members(), false);
+    List<Member> members = new ArrayList<>();
+    members.add(ownEntry());
+    entries.values().stream()
+        .filter(entry -> !entry.downAt.isReached(clock))
+        .limit(MemberReport.MAXIMUM_ENTRIES - 1)
+        .forEach(entry -> members.add(entry.member));
+    return new MemberReport(members, false);
   }
 
   private boolean merge(Collection<Member> members) {
@@ -250,7 +290,7 @@
       }
       Entry known = entries.get(vm.id());
       if (known == null) {
-        entries.put(vm.id(), new Entry(member, after(settings.silence()), forgotten()));
+        entries.put(vm.id(), new Entry(member, downAt(vm), forgottenAt()));
         eventLog.record(
             EventLog.Level.INFO,
             "vm_joined",
@@ -268,17 +308,23 @@
   }
 
   private void markAlive(Entry entry) {
-    entry.downAt = after(settings.silence());
-    entry.forgottenAt = forgotten();
+    entry.downAt = downAt(entry.member.vm());
+    entry.forgottenAt = forgottenAt();
     entry.reportedDown = false;
   }
 
-  private Deadline after(Duration duration) {
-    return Deadline.after(clock, duration);
+  private Deadline downAt(Vm vm) {
+    return Deadline.after(clock, silence(vm));
+  }
+
+  /** A VM is forgotten only after all others take it for down, or they would bring it back. */
+  private Deadline forgottenAt() {
+    return Deadline.after(
+        clock, settings.silence().multipliedBy(FAR_PATIENCE).plus(settings.retention()));
   }
 
-  private Deadline forgotten() {
-    return after(settings.silence().plus(settings.retention()));
+  private Duration silence(Vm vm) {
+    return isNear(vm) ? settings.silence() : settings.silence().multipliedBy(FAR_PATIENCE);
   }
 
   private boolean expire() {
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipSettings.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipSettings.java
@@ -29,6 +29,6 @@
    */
   public static GossipSettings of(List<SocketEndpoint> seeds) {
     return new GossipSettings(
-        seeds, Duration.ofSeconds(1), Duration.ofSeconds(10), Duration.ofSeconds(30));
+        seeds, Duration.ofSeconds(1), Duration.ofSeconds(15), Duration.ofSeconds(30));
   }
 }
--- /dev/null
+++ b/kumquatvane-membership/src/test/java/org/kumquatvane/membership/GossipMembershipTest.java
@@ -0,0 +1,159 @@
+package org.kumquatvane.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.PeerSender;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.testing.DiscardingEventLog;
+import org.kumquatvane.testing.LogicalClock;
+import org.kumquatvane.testing.LogicalNetwork;
+import org.kumquatvane.testing.LogicalScheduler;
+
+/** Guards against VMs that do not find each other, or that are never forgotten. */
+class GossipMembershipTest {
+  private static final int DOMAINS = 3;
+
+  private final LogicalClock clock = new LogicalClock();
+  private final LogicalScheduler scheduler = new LogicalScheduler(clock);
+  private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(3L);
+  private final LogicalNetwork network = new LogicalNetwork(clock, scheduler, random);
+  private final List<GossipMembership> members = new ArrayList<>();
+  private long betweenDomains;
+
+  private static SocketEndpoint endpoint(int number) {
+    return new SocketEndpoint("10.0.0." + (number + 1), 7_000);
+  }
+
+  private static VmId name(int number) {
+    return new VmId(endpoint(number).toString());
+  }
+
+  private void start(int vms, SocketEndpoint... seeds) {
+    for (int i = members.size(); members.size() < vms; i++) {
+      members.add(startVm(i, seeds));
+    }
+  }
+
+  private GossipMembership startVm(int number, SocketEndpoint... seeds) {
+    FailureDomain domain = new FailureDomain("domain-" + number % DOMAINS);
+    Vm self = new Vm(name(number), endpoint(number), domain, VmState.LIVE);
+    GossipMembership member =
+        new GossipMembership(
+            self,
+            GossipSettings.of(List.of(seeds)),
+            counting(number),
+            List.of(),
+            clock,
+            scheduler,
+            RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong()),
+            new DiscardingEventLog());
+    network.connect(self.id(), (from, message) -> member.handle(from, (MemberReport) message));
+    member.start();
+    return member;
+  }
+
+  private PeerSender counting(int number) {
+    PeerSender sender = network.sender(name(number));
+    return (destination, message) -> {
+      String host = SocketEndpoint.parse(destination.value()).host();
+      int other = Integer.parseInt(host.substring(host.lastIndexOf('.') + 1)) - 1;
+      betweenDomains += other % DOMAINS == number % DOMAINS ? 0 : 1;
+      sender.send(destination, message);
+    };
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, 9, 40, 120})
+  void allVmsFindEachOtherThroughTheSeeds(int vms) {
+    start(vms, endpoint(0), endpoint(1));
+    scheduler.advance(Duration.ofSeconds(12));
+    for (GossipMembership member : members) {
+      assertEquals(vms - 1, member.allPeers().size());
+      assertEquals(vms, member.possibleVms());
+    }
+  }
+
+  @Test
+  void oneLivingSeedIsEnough() {
+    start(9, endpoint(200), endpoint(4));
+    scheduler.advance(Duration.ofSeconds(12));
+    members.forEach(member -> assertEquals(8, member.allPeers().size()));
+  }
+
+  @Test
+  void exactlyOneVmOfADomainHasEachPlaceInTheOrderOfATask() {
+    start(12, endpoint(0));
+    scheduler.advance(Duration.ofSeconds(12));
+    List<Integer> places =
+        IntStream.range(0, 12).mapToObj(i -> members.get(i).rank("task")).sorted().toList();
+    assertEquals(List.of(0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3), places);
+  }
+
+  /** A VM that is only cut off still uses its part of the rates, so it counts for a while. */
+  @Test
+  void silentVmsAreLeftOutAtOnceAndForgottenLater() {
+    start(9, endpoint(0));
+    scheduler.advance(Duration.ofSeconds(12));
+    network.disconnect(name(8));
+    IntStream.range(0, 8).forEach(i -> network.setBlocked(name(8), name(i), true));
+    scheduler.advance(Duration.ofSeconds(20));
+    assertFalse(members.get(5).allPeers().contains(name(8)));
+    assertEquals(9, members.get(5).possibleVms());
+    scheduler.advance(Duration.ofSeconds(70));
+    members.subList(0, 8).forEach(member -> assertEquals(8, member.possibleVms()));
+    // Nobody may bring it back from an old report.
+    scheduler.advance(Duration.ofSeconds(60));
+    members.subList(0, 8).forEach(member -> assertEquals(8, member.possibleVms()));
+  }
+
+  @Test
+  void leavingVmsAreNoPeers() {
+    start(6, endpoint(0));
+    scheduler.advance(Duration.ofSeconds(12));
+    members.get(3).leave();
+    scheduler.advance(Duration.ofMillis(50));
+    assertFalse(members.get(0).nearPeers().contains(name(3)));
+    assertEquals(5, members.get(0).possibleVms());
+  }
+
+  /** After the loss of all VMs their old entries must not outweigh the new processes. */
+  @Test
+  void restartedVmReplacesItsOldEntry() {
+    start(6, endpoint(0));
+    scheduler.advance(Duration.ofSeconds(12));
+    network.disconnect(name(5));
+    scheduler.advance(Duration.ofSeconds(30));
+    GossipMembership restarted = startVm(5, endpoint(0));
+    scheduler.advance(Duration.ofSeconds(8));
+    assertEquals(5, restarted.allPeers().size());
+    assertTrue(members.get(0).allPeers().contains(name(5)));
+    assertEquals(6, members.get(0).possibleVms());
+  }
+
+  /** Reports between failure domains cost, so their number must not grow with the VMs. */
+  @ParameterizedTest
+  @ValueSource(ints = {12, 60, 120})
+  void reportsBetweenDomainsDoNotGrowWithTheFleet(int vms) {
+    start(vms, endpoint(0), endpoint(1), endpoint(2));
+    scheduler.advance(Duration.ofSeconds(15));
+    long before = betweenDomains;
+    scheduler.advance(Duration.ofSeconds(20));
+    double perSecond = (betweenDomains - before) / 20.0;
+    // Two bridges of three domains report to two others each, and ask two seeds every 5 s.
+    double expected = 3 * 2 * 2 + 3 * 2 * 2 * 2 / 5.0;
+    assertTrue(perSecond <= 1.1 * expected, "reports a second between domains: " + perSecond);
+  }
+}
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -1,5 +1,15 @@
 package org.kumquatvane.peering.codec;
 
+import org.kumquatvane.distribution.ItemsInquiry;
+import org.kumquatvane.distribution.ItemsReport;
+import org.kumquatvane.distribution.SourceItem;
+import org.kumquatvane.ejection.Observation;
+import org.kumquatvane.limits.DemandReport;
+import org.kumquatvane.limits.DemandShare;
+import org.kumquatvane.membership.Member;
+import org.kumquatvane.membership.MemberReport;
+import org.kumquatvane.selection.InstanceActivity;
+import java.util.Optional;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -62,7 +72,7 @@
   private SampleMessages() {}
 
   static Stream<PeerMessage> all() {
-    return Stream.of(membership(), distribution(), limits(), operations(), ejection())
+    return Stream.of(membership(), distribution(), limits(), operations(), ejection(), selection())
         .flatMap(List::stream);
   }
 
@@ -72,7 +82,19 @@
         new HeartbeatReply(Integer.MAX_VALUE, Long.MAX_VALUE),
         new ReachabilityReport(1_760_000_000_000L, Set.of()),
         new ReachabilityReport(2, Set.of(new VmId("e1"), new VmId("\u00ea2"))),
-        new DepartureNotice(42));
+        new DepartureNotice(42),
+        new MemberReport(List.of(), false),
+        new MemberReport(
+            List.of(
+                new Member(
+                    new Vm(
+                        new VmId("10.0.0.1:7001"),
+                        new SocketEndpoint("10.0.0.1", 7001),
+                        DOMAIN,
+                        VmState.LEAVING),
+                    1_760_000_000_000L,
+                    17)),
+            true));
   }
 
   private static List<PeerMessage> distribution() {
@@ -85,7 +107,15 @@
         new DocumentPart(DIGEST, 300, 100, new byte[] {0, -1, 127}),
         new ConfigurationInquiry(new ConfigurationMark(1, 2, 3)),
         new KeyWithdrawal(9, List.of(KeyDigest.ofKey("x"), KeyDigest.ofKey("y"))),
-        new VmListReport(new VmList(8, List.of(entry), List.of(backend))));
+        new VmListReport(new VmList(8, List.of(entry), List.of(backend))),
+        new ItemsReport(
+            true,
+            0,
+            9,
+            List.of(
+                new SourceItem("a", Optional.of(new byte[] {1, -1}), 8),
+                new SourceItem("b", Optional.empty(), 9))),
+        new ItemsInquiry(-1));
   }
 
   private static List<PeerMessage> limits() {
@@ -93,7 +123,9 @@
         new LeaseRequest(5, WORKSPACE, 0.25, 1_000_000_000),
         new LeaseGrant(5, WORKSPACE, 0.125, 3.5, 900_000_000),
         new TokenRequest(6, WORKSPACE, 2, true, 100),
-        new TokenGrant(6, WORKSPACE, 0, 50));
+        new TokenGrant(6, WORKSPACE, 0, 50),
+        new DemandReport(300, List.of(new DemandReport.Demand(WORKSPACE, 7, 5))),
+        new DemandShare(List.of(new DemandShare.Share(WORKSPACE, 0.25, 88.5))));
   }
 
   private static List<PeerMessage> operations() {
@@ -132,4 +164,15 @@
         new CrashReport(
             new RequestFingerprint("ab12"), INSTANCE, CrashReport.Outcome.INSTANCE_LOST));
   }
+
+  private static List<PeerMessage> selection() {
+    return List.of(
+        new InstanceActivity(1, List.of(), List.of()),
+        new InstanceActivity(
+            1_760_000_000_000L,
+            List.of(new InstanceActivity.Running(INSTANCE, 250)),
+            List.of(
+                new InstanceActivity.Outcome(INSTANCE, Observation.Kind.TIMED_OUT, 900),
+                new InstanceActivity.Outcome(INSTANCE, Observation.Kind.SUCCESS, 90))));
+  }
 }
--- a/kumquatvane-retries/src/main/java/org/kumquatvane/retries/FleetRetryBudget.java
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/FleetRetryBudget.java
@@ -82,8 +82,7 @@
     int slice = slice(service);
     Account account = account(service);
     double allowed = USED_PART * (limits.ratio() * sum(account.requests) + limits.fixed() / parts);
-    // A VM alone with few requests may still repeat one of them now and then.
-    if (sum(account.repeats) + 1 > Math.max(1, allowed)) {
+    if (sum(account.repeats) + 1 > allowed) {
       return false;
     }
     account.repeats[slice]++;
--- /dev/null
+++ b/kumquatvane-retries/src/test/java/org/kumquatvane/retries/FleetRetryBudgetTest.java
@@ -0,0 +1,92 @@
+package org.kumquatvane.retries;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.document.EjectionProfile;
+import org.kumquatvane.document.EjectionSettings;
+import org.kumquatvane.document.InstanceCapacity;
+import org.kumquatvane.document.QueuePolicy;
+import org.kumquatvane.document.RetryMode;
+import org.kumquatvane.document.RetrySettings;
+import org.kumquatvane.document.SelectionMode;
+import org.kumquatvane.document.Service;
+import org.kumquatvane.testing.LogicalClock;
+import org.kumquatvane.testing.RecordingCounters;
+
+/** Guards against VMs whose repeats together exceed the budget of the fleet. */
+class FleetRetryBudgetTest {
+  private static final double RATIO = 0.2;
+  private static final int FIXED = 56;
+  private static final Duration WINDOW = Duration.ofSeconds(10);
+  private static final ServiceName SERVICE = new ServiceName("rota");
+
+  private final LogicalClock clock = new LogicalClock();
+
+  private static Service service() {
+    return new Service(
+        SERVICE,
+        new InstanceCapacity(1, 1, Duration.ZERO),
+        new QueuePolicy(1, 1),
+        SelectionMode.TWO_CHOICES,
+        new EjectionSettings(
+            EjectionProfile.NONE, 0, Duration.ofSeconds(1), Duration.ofSeconds(1)),
+        new RetrySettings(RetryMode.BUDGETED, 4, 20, Duration.ofMillis(2)));
+  }
+
+  private RetryContext failed() {
+    return new RetryContext(
+        service(),
+        true,
+        true,
+        1,
+        AttemptFailure.CONNECTION_LOST,
+        Deadline.after(clock, Duration.ofSeconds(1)));
+  }
+
+  /** Every request fails and is repeated as often as the policy allows. */
+  @ParameterizedTest
+  @CsvSource({"1, 100", "32, 3", "32, 0.2", "135, 6"})
+  void lastingFailureStaysWithinTheBudgetOfTheFleet(int vms, double perVmAndSecond) {
+    List<FleetRetryBudget> policies = new ArrayList<>();
+    for (int i = 0; i < vms; i++) {
+      policies.add(
+          new FleetRetryBudget(
+              context ->
+                  new RetryDecision.Retry(
+                      Reason.RETRY_CONNECTION_LOST, new Deadline(clock.monotonicNanos())),
+              new FleetRetryBudget.Limits(RATIO, FIXED, WINDOW),
+              () -> vms,
+              clock,
+              new RecordingCounters()));
+    }
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    long gapNanos = (long) (1e9 / (perVmAndSecond * vms));
+    for (int i = 0; i < 40 * perVmAndSecond * vms; i++) {
+      clock.advance(Duration.ofNanos(gapNanos));
+      FleetRetryBudget policy = policies.get(i % vms);
+      policy.requestStarted(SERVICE);
+      requests.add(clock.monotonicNanos());
+      if (policy.decide(failed()) instanceof RetryDecision.Retry) {
+        repeats.add(clock.monotonicNanos());
+      }
+    }
+    for (long end : repeats) {
+      long from = end - WINDOW.toNanos();
+      long repeated = repeats.stream().filter(time -> time > from && time <= end).count();
+      long requested = requests.stream().filter(time -> time > from && time <= end).count();
+      assertTrue(
+          repeated <= RATIO * requested + FIXED, repeated + " repeats of " + requested);
+    }
+    assertTrue(repeats.size() > 0.1 * requests.size(), "repeats: " + repeats.size());
+  }
+}
--- /dev/null
+++ b/kumquatvane-selection/src/test/java/org/kumquatvane/selection/FleetInstancePoolTest.java
@@ -0,0 +1,220 @@
+package org.kumquatvane.selection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.FailureDomain;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.ServiceName;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.ejection.Observation;
+import org.kumquatvane.testing.LogicalClock;
+import org.kumquatvane.testing.LogicalNetwork;
+import org.kumquatvane.testing.LogicalScheduler;
+
+/** Guards against VMs that learn of failing or full instances too late. */
+class FleetInstancePoolTest {
+  private static final ServiceName SERVICE = new ServiceName("rota");
+  private static final FailureDomain DOMAIN = new FailureDomain("a");
+  private static final Duration WORK = Duration.ofMillis(150);
+  private static final int SLOTS = 2;
+
+  private final LogicalClock clock = new LogicalClock();
+  private final LogicalScheduler scheduler = new LogicalScheduler(clock);
+  private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7L);
+  private final LogicalNetwork network = new LogicalNetwork(clock, scheduler, random);
+  private final List<VmId> names = new ArrayList<>();
+  private final List<FleetInstancePool> pools = new ArrayList<>();
+
+  private void startFleet(int vms, Instance... instances) {
+    IntStream.range(0, vms).forEach(i -> names.add(new VmId("vm-" + i)));
+    for (VmId name : names) {
+      FleetInstancePool pool =
+          new FleetInstancePool(
+              clock,
+              scheduler,
+              RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong()),
+              DOMAIN,
+              () -> names.stream().filter(other -> !other.equals(name)).toList(),
+              network.sender(name),
+              service -> {},
+              1);
+      network.connect(name, (from, message) -> pool.handle(from, (InstanceActivity) message));
+      pool.update(List.of(instances));
+      pools.add(pool);
+    }
+  }
+
+  private static Instance instance(String name, String domain) {
+    return new Instance(
+        new InstanceId(name),
+        SERVICE,
+        new SocketEndpoint("127.0.0.1", 6_000),
+        new FailureDomain(domain),
+        false,
+        SLOTS,
+        0,
+        Optional.empty());
+  }
+
+  private SlotNeed need(boolean repeatable) {
+    return new SlotNeed(Set.of(), repeatable, Deadline.after(clock, Duration.ofSeconds(1)));
+  }
+
+  private Optional<Reservation> reserve(int vm, boolean repeatable) {
+    return pools.get(vm).reserve(SERVICE, need(repeatable));
+  }
+
+  private void end(int vm, Reservation reservation, Observation.Kind kind) {
+    Duration latency = Duration.ofNanos(clock.monotonicNanos() - reservation.startedNanos());
+    pools.get(vm).observe(SERVICE, reservation.instance().id(), new Observation(kind, latency));
+    pools.get(vm).release(reservation);
+  }
+
+  private void warmUp(int rounds) {
+    for (int i = 0; i < rounds; i++) {
+      int vm = i % pools.size();
+      Optional<Reservation> reserved = reserve(vm, true);
+      scheduler.advance(WORK);
+      reserved.ifPresent(slot -> end(vm, slot, Observation.Kind.SUCCESS));
+      scheduler.advance(Duration.ofMillis(20));
+    }
+  }
+
+  /** Forty VMs that do not see each other would put several requests on each slot. */
+  @ParameterizedTest
+  @ValueSource(ints = {2, 5, 12})
+  void noInstanceGetsMoreThanItsSlotsFromTheWholeFleet(int vms) {
+    startFleet(vms, instance("rota-1", "a"), instance("rota-2", "a"));
+    int granted = 0;
+    for (int i = 0; i < 10 * vms; i++) {
+      granted += reserve(i % vms, true).isPresent() ? 1 : 0;
+      scheduler.advance(Duration.ofMillis(20));
+    }
+    assertEquals(2 * SLOTS, granted);
+  }
+
+  /** An instance that hangs takes the slots' worth of requests and no more for a while. */
+  @Test
+  void attemptsThatWaitTooLongAreEvidenceBeforeTheyEnd() {
+    startFleet(4, instance("rota-1", "a"), instance("rota-2", "a"), instance("rota-3", "a"));
+    warmUp(30);
+    Reservation hanging = reserve(0, false).orElseThrow();
+    scheduler.advance(Duration.ofMillis(900));
+    for (int i = 0; i < 20; i++) {
+      int vm = 1 + i % 3;
+      Optional<Reservation> slot = reserve(vm, false);
+      assertTrue(slot.isPresent());
+      assertTrue(!slot.get().instance().id().equals(hanging.instance().id()));
+      scheduler.advance(WORK);
+      end(vm, slot.get(), Observation.Kind.SUCCESS);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = Observation.Kind.class,
+      names = {"SERVER_ERROR", "TIMED_OUT", "CONNECTION_LOST", "ANSWER_INVALID"})
+  void failuresSeenByOneVmKeepTheOthersAway(Observation.Kind kind) {
+    startFleet(3, instance("rota-1", "a"), instance("rota-2", "a"));
+    warmUp(20);
+    Reservation failing = reserve(0, false).orElseThrow();
+    scheduler.advance(Duration.ofMillis(50));
+    end(0, failing, kind);
+    scheduler.advance(Duration.ofMillis(50));
+    Reservation next = reserve(1, false).orElseThrow();
+    assertTrue(!next.instance().id().equals(failing.instance().id()));
+  }
+
+  /** Without trials an instance that recovered would stay unused. */
+  @Test
+  void repeatableRequestsFindOutThatAnInstanceHasRecovered() {
+    startFleet(2, instance("rota-1", "a"), instance("rota-2", "a"));
+    warmUp(10);
+    Reservation failing = reserve(0, false).orElseThrow();
+    end(0, failing, Observation.Kind.CONNECTION_LOST);
+    Set<InstanceId> used = new java.util.HashSet<>();
+    for (int i = 0; i < 40; i++) {
+      int vm = i % 2;
+      Optional<Reservation> slot = reserve(vm, true);
+      scheduler.advance(WORK);
+      slot.ifPresent(
+          taken -> {
+            used.add(taken.instance().id());
+            end(vm, taken, Observation.Kind.SUCCESS);
+          });
+    }
+    assertTrue(used.contains(failing.instance().id()));
+  }
+
+  /** The path of one VM must not take an instance from all the others. */
+  @Test
+  void pathOfOneVmIsToldFromTheInstance() {
+    startFleet(5, instance("rota-1", "a"), instance("rota-2", "a"));
+    warmUp(20);
+    InstanceId cutOff = new InstanceId("rota-1");
+    for (int i = 0; i < 40; i++) {
+      pools
+          .get(0)
+          .observe(
+              SERVICE, cutOff, new Observation(Observation.Kind.CONNECT_FAILED, Duration.ZERO));
+      for (int vm = 1; vm < 5; vm++) {
+        Optional<Reservation> slot = reserve(vm, false);
+        scheduler.advance(Duration.ofMillis(40));
+        if (slot.isPresent()) {
+          end(vm, slot.get(), Observation.Kind.SUCCESS);
+        }
+      }
+    }
+    assertEquals("rota-2", reserve(0, false).orElseThrow().instance().id().value());
+    long onCutOff =
+        IntStream.range(0, 40)
+            .mapToObj(i -> reserve(1 + i % 4, false))
+            .flatMap(Optional::stream)
+            .filter(slot -> slot.instance().id().equals(cutOff))
+            .count();
+    assertTrue(onCutOff > 0);
+  }
+
+  @Test
+  void instancesOfTheOwnDomainArePreferredWhileTheyAreSound() {
+    startFleet(1, instance("rota-1", "a"), instance("rota-2", "b"), instance("rota-3", "b"));
+    warmUp(30);
+    assertEquals("rota-1", reserve(0, false).orElseThrow().instance().id().value());
+  }
+
+  @Test
+  void leavingInstancesGetNothing() {
+    startFleet(1, instance("rota-1", "a"));
+    pools.get(0).markLeaving(SERVICE, new InstanceId("rota-1"));
+    assertTrue(reserve(0, true).isEmpty());
+    assertTrue(!pools.get(0).hasInstance(SERVICE));
+  }
+
+  /** A VM that was killed must not hold slots for ever. */
+  @Test
+  void attemptsOfASilentVmAreForgotten() {
+    startFleet(2, instance("rota-1", "a"));
+    reserve(0, true);
+    reserve(0, true);
+    scheduler.advance(Duration.ofMillis(50));
+    assertTrue(reserve(1, true).isEmpty());
+    names.forEach(name -> network.setBlocked(names.get(0), name, true));
+    scheduler.advance(Duration.ofSeconds(2));
+    assertTrue(reserve(1, true).isPresent());
+  }
+}
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryFleet.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryFleet.java
@@ -56,6 +56,7 @@
             Randomness.create(),
             runtime.eventLog());
     dispatcher.register(MemberReport.class, membership);
+    dispatcher.onAnyMessage(membership::heard);
   }
 
   /** Starts to listen and to report. */
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/ModuleDirectionTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/ModuleDirectionTest.java
@@ -42,8 +42,8 @@
           "settings",
           "telemetry",
           "peering",
-          "platform",
           "http",
+          "platform",
           "admin",
           "server",
           "cli");
