--- a/kumquatvane-cli/src/test/java/org/kumquatvane/cli/CommandLineTest.java
+++ b/kumquatvane-cli/src/test/java/org/kumquatvane/cli/CommandLineTest.java
@@ -36,6 +36,14 @@
     for (String name : List.of("ruapehu.jsonc", "coed-ffynnon.jsonc", "settings.jsonc")) {
       Files.copy(EXAMPLES.resolve(name), directory.resolve(name));
     }
+    Path trialRun = Path.of("..", "deploy", "trial-run.jsonc");
+    Files.copy(trialRun, directory.resolve("trial-run.jsonc"));
+    write(
+        "entry-bad.jsonc",
+        Files.readString(trialRun)
+            .replace("127.0.0.1:28405", "callers.example:80")
+            .replace("\"stopGraceSeconds\": 4", "\"stopGraceSeconds\": 0")
+            .replace("trial-run-without-a-fleet", "short"));
     String current = Files.readString(directory.resolve("ruapehu.jsonc"));
     write(
         "next.jsonc",
@@ -116,7 +124,11 @@
     "trial --in-force @next.jsonc --document @missing.jsonc, UNREACHABLE",
     "trial --in-force @ruapehu.jsonc --document @next.jsonc --requests @bad.jsonc, INVALID_INPUT",
     "key, OK",
-    "key surplus, USAGE"
+    "key surplus, USAGE",
+    "entry --settings @trial-run.jsonc --check, OK",
+    "entry --settings @bad.jsonc --check, INVALID_INPUT",
+    "entry --settings @missing.jsonc, UNREACHABLE",
+    "entry surplus, USAGE"
   })
   void endsWithTheRightExitCode(String line, ExitCode expected) {
     assertEquals(expected, run(line), this::printed);
@@ -128,6 +140,7 @@
   @CsvSource({
     "program, --help",
     "serve, serve --help",
+    "entry, entry --help",
     "status, status --help",
     "drain, drain --help",
     "check, check --help",
@@ -145,6 +158,7 @@
   @CsvSource({
     "check-bad, check @bad.jsonc @broken.jsonc @ruapehu.jsonc",
     "check-missing, check @missing.jsonc",
+    "entry-bad, entry --settings @entry-bad.jsonc --check",
     "trial, trial --in-force @ruapehu.jsonc --document @next.jsonc --requests @requests.jsonc",
     "trial-older, trial --in-force @next.jsonc --document @ruapehu.jsonc",
     "usage, trial --document @next.jsonc"
