Check the form of secrets where they are read

Cause: the process read secret files without the check that a twin in the command line had and nobody called, so a short secret ended the start with an exception. The check and its test moved into SecretReader; the twin is gone.

--- a/kumquatvane-cli/src/test/java/org/kumquatvane/cli/files/SecretFilesTest.java
+++ b/kumquatvane-server/src/test/java/org/kumquatvane/server/internal/SecretReaderTest.java
@@ -1,22 +1,18 @@
-package org.kumquatvane.cli.files;
+package org.kumquatvane.server.internal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Optional;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.kumquatvane.cli.Console;
 import org.kumquatvane.settings.Secret;
 
-class SecretFilesTest {
+class SecretReaderTest {
   /** Guards against weak or broken secrets from files, and against secrets in messages. */
   @ParameterizedTest
   @CsvSource({
@@ -24,13 +20,12 @@
     "0123456 789abcdef, false", "0123456789abcd\u00e9f, false", "'', false"
   })
   void checksTheForm(String content, boolean accepted, @TempDir Path directory) throws IOException {
-    Path file = Files.writeString(directory.resolve("secret"), content);
-    ByteArrayOutputStream err = new ByteArrayOutputStream();
-    PrintStream printed = new PrintStream(err, true, StandardCharsets.UTF_8);
-    Optional<String> secret =
-        SecretFiles.read(new Secret.InFile(file), new Console(printed, printed));
-    assertEquals(accepted ? Optional.of(content.strip()) : Optional.empty(), secret);
-    assertEquals(accepted, err.size() == 0);
-    assertFalse(err.toString(StandardCharsets.UTF_8).contains("0123456"));
+    Secret secret = new Secret.InFile(Files.writeString(directory.resolve("secret"), content));
+    if (accepted) {
+      assertEquals(content.strip(), SecretReader.read(secret));
+    } else {
+      IOException refused = assertThrows(IOException.class, () -> SecretReader.read(secret));
+      assertFalse(String.valueOf(refused.getMessage()).contains("0123456"));
+    }
   }
 }
