--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -32,7 +32,7 @@
 import org.kumquatvane.http.OwnDialect;
 import org.kumquatvane.http.TlsFiles;
 import org.kumquatvane.membership.VmListListener;
-import org.kumquatvane.platform.PlatformClient;
+import org.kumquatvane.platform.own.PlatformClient;
 import org.kumquatvane.server.internal.DecisionParts;
 import org.kumquatvane.server.internal.FleetParts;
 import org.kumquatvane.server.internal.FleetReadiness;
