Use an instance again that stays listed after a misdirected answer

Cause: an answer 421 marked the instance as leaving for the life of its entry; PlatformProcessTest showed a VM that refused everything as no_instance after two such answers. The mark now lasts until the list must have confirmed it (5 s). FleetInstancePoolTest covers it.

--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.selection.internal;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -27,6 +28,9 @@
   /** Waiting attempts are correlated; more than a few of them add no evidence. */
   private static final int WEIGHED_WAITING = 3;
 
+  /** Entries of instances that are gone lapse after three heartbeats of 1.5 s. */
+  private static final Duration CONFIRMATION = Duration.ofSeconds(5);
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final Clock clock;
@@ -36,7 +40,7 @@
   private final List<Long> own = new ArrayList<>();
   private final Map<VmId, PeerAttempts> peers = new HashMap<>();
   private Instance instance;
-  private boolean saidLeaving;
+  private @Nullable Deadline leavingUntil;
   private @Nullable Deadline fullUntil;
   private long lastAnswerNanos;
 
@@ -63,9 +67,12 @@
     instance = newest;
   }
 
-  /** Marks the instance as leaving because it said so itself. */
+  /**
+   * Marks the instance as leaving because an answer from its address said so. The list confirms it
+   * within {@link #CONFIRMATION}; otherwise the answer was wrong or meant something else.
+   */
   public void sayLeaving() {
-    saidLeaving = true;
+    leavingUntil = Deadline.after(clock, CONFIRMATION);
   }
 
   /**
@@ -74,7 +81,8 @@
    * @return whether it must get no new request
    */
   public boolean isLeaving() {
-    return saidLeaving || instance.leaving();
+    Deadline until = leavingUntil;
+    return instance.leaving() || (until != null && !until.isReached(clock));
   }
 
   boolean isCold() {
--- a/kumquatvane-selection/src/test/java/org/kumquatvane/selection/FleetInstancePoolTest.java
+++ b/kumquatvane-selection/src/test/java/org/kumquatvane/selection/FleetInstancePoolTest.java
@@ -205,6 +205,17 @@
     assertTrue(!pools.get(0).hasInstance(SERVICE));
   }
 
+  /** One answer of a stranger at the address took the instance from this VM for ever. */
+  @Test
+  void instancesThatStayListedAreUsedAgain() {
+    startFleet(1, instance("rota-1", "a"));
+    pools.get(0).markLeaving(SERVICE, new InstanceId("rota-1"));
+    scheduler.advance(Duration.ofSeconds(4));
+    assertTrue(reserve(0, true).isEmpty());
+    scheduler.advance(Duration.ofSeconds(2));
+    assertTrue(reserve(0, true).isPresent());
+  }
+
   /** A VM that was killed must not hold slots for ever. */
   @Test
   void attemptsOfSilentVmsAreForgotten() {
