Keep the answer of an operation when its caller leaves during the delivery

The caller's connection broke between the hand-over of the answer and its first byte; ServiceTalk cancelled the body, and the ledger learnt only that the operation had finished. Ruled out: the ledger (the record was there). Answers of operations with a declared length are now read whole first and kept also when the delivery is cancelled; AnswerRelayTest fails without the change. Buffered answers without a declared length are bounded.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -1,17 +1,12 @@
 package org.kumquatvane.engine.internal;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
 import org.kumquatvane.core.Deadline;
-import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.ExecutionStatus;
 import org.kumquatvane.core.InstanceId;
 import org.kumquatvane.core.Invariant;
@@ -58,6 +53,7 @@
   private final Runnable onEnd;
   private final RequestFingerprint fingerprint;
   private final Deadline patientUntil;
+  private final RequestLog requestLog;
   private final AtomicBoolean ended = new AtomicBoolean();
   private final Set<InstanceId> tried = ConcurrentHashMap.newKeySet();
   private volatile @Nullable AttemptStep current;
@@ -92,6 +88,7 @@
     this.exchange = exchange;
     this.onEnd = onEnd;
     fingerprint = Fingerprints.of(request, body);
+    requestLog = new RequestLog(dependencies, request);
     patientUntil =
         new Deadline(
             request.head().arrivalNanos()
@@ -275,7 +272,12 @@
       dependencies.crashGuard().instanceLost(fingerprint, instance);
     }
     RetryDecision decision = decideRetry(failure);
-    logAttempt(failure, instanceGone, decision instanceof RetryDecision.Retry ? "retry" : "end");
+    requestLog.attemptFailed(
+        attemptsMade,
+        lastInstance,
+        failure,
+        instanceGone,
+        decision instanceof RetryDecision.Retry ? "retry" : "end");
     if (decision instanceof RetryDecision.Retry retry && !callerLeft) {
       dependencies.counters().count(retry.reason());
       dependencies.scheduler().schedule(retry.notBefore(), this::retry);
@@ -297,7 +299,7 @@
   /** Makes another attempt after one that was dropped; its slot has been given back. */
   void attemptDropped(AttemptFailure failure, RetryDecision.Retry retry) {
     mayHaveRun |= !failure.isKnownNotRun();
-    logAttempt(failure, false, "retry");
+    requestLog.attemptFailed(attemptsMade, lastInstance, failure, false, "retry");
     dependencies.counters().count(retry.reason());
     dependencies.scheduler().schedule(retry.notBefore(), this::retry);
     dispatcher.dispatch(request.service().name());
@@ -369,7 +371,12 @@
   void answered(OperationResult result, int status, String delivery) {
     finishOperation(result);
     if (end()) {
-      logEnd("request_answered", LogField.of("status", status), LogField.of("delivery", delivery));
+      requestLog.ended(
+          "request_answered",
+          attemptsMade,
+          lastInstance,
+          LogField.of("status", status),
+          LogField.of("delivery", delivery));
     }
     dispatcher.dispatch(request.service().name());
   }
@@ -397,46 +404,11 @@
     dependencies.counters().add("requests.abandoned", 1);
     finishOperation(mayHaveRun ? new OperationResult.Unknown() : new OperationResult.NotRun());
     if (end()) {
-      logEnd("request_abandoned", LogField.of("may_have_run", mayHaveRun));
+      requestLog.ended(
+          "request_abandoned", attemptsMade, lastInstance, LogField.of("may_have_run", mayHaveRun));
     }
   }
 
-  private void logEnd(String event, LogField... outcome) {
-    long now = dependencies.clock().monotonicNanos();
-    dependencies.counters().duration("latency." + event, now - request.head().arrivalNanos());
-    log(event, outcome);
-  }
-
-  /** Logs a decision about the request with what is known of it. */
-  private void log(String event, LogField... outcome) {
-    long now = dependencies.clock().monotonicNanos();
-    List<LogField> fields = new ArrayList<>();
-    fields.add(LogField.of("request", request.head().id()));
-    fields.add(LogField.of("workspace", request.workspace()));
-    fields.add(LogField.of("route", request.route().id()));
-    fields.add(LogField.of("service", request.service().name()));
-    fields.add(LogField.of("priority", request.priority()));
-    fields.add(LogField.of("attempts", attemptsMade));
-    fields.add(LogField.of("instance", lastInstance));
-    fields.add(LogField.of("total_ms", millis(now - request.head().arrivalNanos())));
-    fields.add(LogField.of("left_ms", millis(request.deadline().nanos() - now)));
-    fields.addAll(List.of(outcome));
-    dependencies.eventLog().record(EventLog.Level.INFO, event, fields.toArray(LogField[]::new));
-  }
-
-  private static long millis(long nanos) {
-    return TimeUnit.NANOSECONDS.toMillis(nanos);
-  }
-
-  /** Logs an attempt that did not end with an answer that was passed on. */
-  private void logAttempt(AttemptFailure failure, boolean instanceGone, String next) {
-    log(
-        "attempt_failed",
-        LogField.of("failure", failure.name().toLowerCase(Locale.ROOT)),
-        LogField.of("instance_gone", instanceGone),
-        LogField.of("next", next));
-  }
-
   private Refusal notRunOrUnknown(Reason reason, String detail) {
     if (mayHaveRun || reason.execution() == ExecutionStatus.MAY_HAVE_RUN) {
       return new Refusal(reason, ExecutionStatus.MAY_HAVE_RUN, detail, Optional.empty());
@@ -458,8 +430,10 @@
     if (end()) {
       dependencies.counters().count(refusal.reason());
       exchange.refuse(refusal);
-      logEnd(
+      requestLog.ended(
           "request_refused",
+          attemptsMade,
+          lastInstance,
           LogField.of("reason", refusal.reason().code()),
           LogField.of("execution", refusal.execution().token()),
           LogField.of("detail", refusal.detail()));
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AnswerBody.java
@@ -0,0 +1,34 @@
+package org.kumquatvane.http.internal;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.api.Publisher;
+
+/** Body of a backend server's answer on its way to the caller. */
+sealed interface AnswerBody {
+  /** Returns the bytes, to be subscribed to once. */
+  Publisher<Buffer> bytes();
+
+  /** A body that is still on the connection. */
+  record Streamed(Publisher<Buffer> bytes) implements AnswerBody {}
+
+  /** A body that was read whole. */
+  final class Whole implements AnswerBody {
+    private final byte[] content;
+    private final BufferAllocator allocator;
+
+    Whole(byte[] content, BufferAllocator allocator) {
+      this.content = content;
+      this.allocator = allocator;
+    }
+
+    byte[] content() {
+      return content;
+    }
+
+    @Override
+    public Publisher<Buffer> bytes() {
+      return Publisher.from(allocator.wrap(content));
+    }
+  }
+}
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AnswerRelay.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AnswerRelay.java
@@ -30,7 +30,7 @@
   private static final int MAXIMUM_CAPTURED_BYTES = 16 * 1024;
 
   private final StreamingHttpResponse upstream;
-  private final Publisher<Buffer> payload;
+  private final AnswerBody content;
   private final OptionalLong declaredLength;
   private final boolean capture;
   private final DeliveryListener listener;
@@ -45,7 +45,7 @@
    * Creates a relay.
    *
    * @param upstream the answer
-   * @param payload its body, which is subscribed to once
+   * @param content its body
    * @param declaredLength its length if it has a body of a declared length
    * @param capture whether a short answer is kept
    * @param listener learns the end
@@ -54,14 +54,14 @@
    */
   AnswerRelay(
       StreamingHttpResponse upstream,
-      Publisher<Buffer> payload,
+      AnswerBody content,
       OptionalLong declaredLength,
       boolean capture,
       DeliveryListener listener,
       Runnable onWhole,
       Runnable onBroken) {
     this.upstream = upstream;
-    this.payload = payload;
+    this.content = content;
     this.declaredLength = declaredLength;
     this.capture = capture;
     this.listener = listener;
@@ -82,7 +82,8 @@
   }
 
   private Publisher<Buffer> body() {
-    return payload
+    return content
+        .bytes()
         .beforeOnNext(this::received)
         .concat(Completable.defer(this::checkLength))
         .beforeFinally(
@@ -107,15 +108,25 @@
 
               @Override
               public void cancel() {
-                settle(
-                    () -> {
-                      onBroken.run();
-                      listener.abandoned();
-                    });
+                settle(AnswerRelay.this::callerLeft);
               }
             });
   }
 
+  /** The answer of an operation is kept for its repeats also if its caller left while it came. */
+  private void callerLeft() {
+    if (capture && content instanceof AnswerBody.Whole whole) {
+      captured.reset();
+      captured.writeBytes(whole.content());
+      receivedBytes = whole.content().length;
+      onWhole.run();
+      listener.completed(recordedAnswer());
+      return;
+    }
+    onBroken.run();
+    listener.abandoned();
+  }
+
   private void settle(Runnable end) {
     if (settled.compareAndSet(false, true)) {
       end.run();
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -5,7 +5,6 @@
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.SingleSource;
-import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpHeaderValues;
@@ -41,6 +40,9 @@
   /** Longest answer that is buffered; answers of today's services have at most 30 KB. */
   private static final int LONGEST_BUFFERED_BYTES = 128 << 10;
 
+  /** Longest answer without a declared length; a VM has a heap of about a hundred megabytes. */
+  private static final int LONGEST_UNDECLARED_BYTES = 4 << 20;
+
   private final HttpExchange exchange;
   private final BackendConnections connections;
   private final AttemptPlan plan;
@@ -53,7 +55,7 @@
   private volatile boolean cancelled;
 
   /** Body of an answer that was read whole; null while it is still on the connection. */
-  private volatile @Nullable Publisher<Buffer> buffered;
+  private volatile byte @Nullable [] buffered;
 
   BackendAttempt(
       HttpExchange exchange,
@@ -139,7 +141,9 @@
     }
     AnswerHead head = ((AnswerCheck.Usable) check).head();
     OptionalLong length = declaredLength(received);
-    if (exchange.dialect().buffersAnswers() && length.orElse(0) <= LONGEST_BUFFERED_BYTES) {
+    boolean buffers =
+        exchange.dialect().buffersAnswers() || (plan.captureAnswer() && length.isPresent());
+    if (buffers && length.orElse(0) <= LONGEST_BUFFERED_BYTES) {
       bufferAnswer(received, head, length);
     } else {
       listener.answered(this, head);
@@ -159,7 +163,7 @@
             return;
           }
           giveBack();
-          buffered = Publisher.from(exchange.allocator().wrap(bytes));
+          buffered = bytes;
           listener.answered(this, head);
         },
         failure -> {
@@ -172,6 +176,9 @@
     byte[] bytes = new byte[chunk.readableBytes()];
     chunk.readBytes(bytes);
     collected.writeBytes(bytes);
+    if (collected.size() > LONGEST_UNDECLARED_BYTES) {
+      throw new IllegalStateException("the answer is too long to be buffered");
+    }
     return collected;
   }
 
@@ -209,7 +216,7 @@
     if (received != null) {
       new AnswerRelay(
               received,
-              payload(received),
+              body(received),
               declaredLength(received),
               false,
               new IgnoringDeliveryListener(),
@@ -229,7 +236,7 @@
     AnswerRelay relay =
         new AnswerRelay(
             received,
-            payload(received),
+            body(received),
             declaredLength(received),
             plan.captureAnswer(),
             delivery,
@@ -245,9 +252,11 @@
     }
   }
 
-  private Publisher<Buffer> payload(StreamingHttpResponse received) {
-    Publisher<Buffer> whole = buffered;
-    return whole == null ? received.payloadBody() : whole;
+  private AnswerBody body(StreamingHttpResponse received) {
+    byte[] whole = buffered;
+    return whole == null
+        ? new AnswerBody.Streamed(received.payloadBody())
+        : new AnswerBody.Whole(whole, exchange.allocator());
   }
 
   private OptionalLong declaredLength(StreamingHttpResponse received) {
--- /dev/null
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/AnswerRelayTest.java
@@ -0,0 +1,100 @@
+package org.kumquatvane.http.internal;
+
+import static io.servicetalk.concurrent.api.SourceAdapters.toSource;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.http.api.DefaultHttpHeadersFactory;
+import io.servicetalk.http.api.DefaultStreamingHttpRequestResponseFactory;
+import io.servicetalk.http.api.HttpProtocolVersion;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.kumquatvane.engine.DeliveryListener;
+import org.kumquatvane.operations.RecordedAnswer;
+
+/** Guards against answers of operations that are lost for their repeats. */
+class AnswerRelayTest {
+  private static final byte[] BODY = "done".getBytes(StandardCharsets.UTF_8);
+
+  private final List<String> ends = new ArrayList<>();
+  private final List<RecordedAnswer> recorded = new ArrayList<>();
+
+  private final class RecordingListener implements DeliveryListener {
+    @Override
+    public void completed(Optional<RecordedAnswer> captured) {
+      ends.add("completed");
+      captured.ifPresent(recorded::add);
+    }
+
+    @Override
+    public void cut() {
+      ends.add("cut");
+    }
+
+    @Override
+    public void abandoned() {
+      ends.add("abandoned");
+    }
+  }
+
+  private static StreamingHttpResponse response() {
+    return new DefaultStreamingHttpRequestResponseFactory(
+            BufferAllocators.DEFAULT_ALLOCATOR,
+            DefaultHttpHeadersFactory.INSTANCE,
+            HttpProtocolVersion.HTTP_1_1)
+        .ok();
+  }
+
+  /**
+   * The caller's connection breaks while the answer is handed over. Under load a process test saw
+   * answer_not_kept for the repeat of a booking that had run and been answered.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, true, completed, 1", "true, false, abandoned, 0", "false, true, abandoned, 0"})
+  void wholeAnswersOfOperationsAreKeptWhenTheCallerLeaves(
+      boolean whole, boolean capture, String end, int kept) {
+    AnswerBody body =
+        whole
+            ? new AnswerBody.Whole(BODY, BufferAllocators.DEFAULT_ALLOCATOR)
+            : new AnswerBody.Streamed(Publisher.never());
+    AnswerRelay relay =
+        new AnswerRelay(
+            response(),
+            body,
+            OptionalLong.of(BODY.length),
+            capture,
+            new RecordingListener(),
+            () -> {},
+            () -> {});
+    toSource(relay.subscribeOnce())
+        .subscribe(
+            new PublisherSource.Subscriber<Buffer>() {
+              @Override
+              public void onSubscribe(PublisherSource.Subscription subscription) {
+                subscription.cancel();
+              }
+
+              @Override
+              public void onNext(Buffer buffer) {}
+
+              @Override
+              public void onError(Throwable failure) {}
+
+              @Override
+              public void onComplete() {}
+            });
+    assertEquals(List.of(end), ends);
+    assertEquals(kept, recorded.size());
+    recorded.forEach(answer -> assertArrayEquals(BODY, answer.body()));
+  }
+}
