--- a/kumquatvane-bench/src/main/java/org/kumquatvane/bench/Bench.java
+++ b/kumquatvane-bench/src/main/java/org/kumquatvane/bench/Bench.java
@@ -4,13 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.kumquatvane.core.KeyDigest;
 import org.kumquatvane.standins.BackendParameter;
 import org.kumquatvane.standins.BackendStandIn;
 import org.kumquatvane.standins.PlatformStandIn;
@@ -177,9 +175,7 @@
         .formatted(CALLER_PORT, ADMIN_PORT, PEER_PORT, platform.port(0));
   }
 
-  private static String document() throws NoSuchAlgorithmException {
-    byte[] digest =
-        MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(StandardCharsets.UTF_8));
+  private static String document() {
     return """
         {
           "generation": 1,
@@ -192,6 +188,6 @@
             "path": "/rota/**", "open": true, "timeoutMillis": 10000}]
         }
         """
-        .formatted(HexFormat.of().formatHex(digest));
+        .formatted(KeyDigest.ofKey(KEY).hex());
   }
 }
--- a/kumquatvane-cli/src/main/java/org/kumquatvane/cli/check/CheckCommand.java
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/check/CheckCommand.java
@@ -15,6 +15,7 @@
 import org.kumquatvane.documents.DocumentParser;
 import org.kumquatvane.documents.DocumentResult;
 import org.kumquatvane.json.Fault;
+import org.kumquatvane.settings.Settings;
 import org.kumquatvane.settings.SettingsParser;
 import org.kumquatvane.settings.SettingsResult;
 
@@ -85,11 +86,11 @@
   }
 
   private static ExitCode checkSettings(Path file, byte[] bytes, Console console) {
-    SettingsResult result = new SettingsParser().parse(file.toString(), bytes);
-    if (result instanceof SettingsResult.Invalid invalid) {
+    SettingsResult<Settings> result = new SettingsParser().parse(file.toString(), bytes);
+    if (result instanceof SettingsResult.Invalid<Settings> invalid) {
       return printFaults(file, invalid.faults(), console);
     }
-    String vm = ((SettingsResult.Parsed) result).settings().vmId().value();
+    String vm = ((SettingsResult.Parsed<Settings>) result).settings().vmId().value();
     console.out().printf("%s: valid settings of VM %s%n", file, vm);
     return ExitCode.OK;
   }
--- a/kumquatvane-cli/src/main/java/org/kumquatvane/cli/serve/EntryCommand.java
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/serve/EntryCommand.java
@@ -11,18 +11,12 @@
 import org.kumquatvane.cli.Command;
 import org.kumquatvane.cli.Console;
 import org.kumquatvane.cli.ExitCode;
-import org.kumquatvane.cli.files.InputFiles;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LogField;
-import org.kumquatvane.json.Fault;
 import org.kumquatvane.server.EntryServer;
-import org.kumquatvane.server.EntryStartResult;
-import org.kumquatvane.server.ServerClosing;
 import org.kumquatvane.settings.EntrySettings;
 import org.kumquatvane.settings.EntrySettingsParser;
-import org.kumquatvane.settings.EntrySettingsResult;
-import org.kumquatvane.telemetry.FloggerEventLog;
-import org.kumquatvane.telemetry.LogSetup;
+import org.kumquatvane.settings.SettingsResult;
 
 /**
  * Runs an entry VM on the users' platform until a signal or an operator asks for a planned stop.
@@ -71,74 +65,56 @@
 
   @Override
   public List<ExitCode> exitCodes() {
-    return List.of(
-        ExitCode.INVALID_INPUT,
-        ExitCode.UNREACHABLE,
-        ExitCode.DRAIN_DEADLINE,
-        ExitCode.SECOND_SIGNAL);
+    return VmProcess.EXIT_CODES;
   }
 
   @Override
   public ExitCode run(Console console) {
-    Optional<byte[]> bytes = InputFiles.read(settingsFile, console);
-    if (bytes.isEmpty()) {
-      return ExitCode.UNREACHABLE;
-    }
-    EntrySettingsResult result =
-        new EntrySettingsParser().parse(settingsFile.toString(), bytes.get());
-    if (result instanceof EntrySettingsResult.Invalid invalid) {
-      for (Fault fault : invalid.faults()) {
-        console.err().println(fault);
-      }
-      return ExitCode.INVALID_INPUT;
-    }
+    VmProcess<EntrySettings> process =
+        new VmProcess<>(settingsFile, new EntrySettingsParser()::parse, console);
+    return process.withSettings(settings -> checkOrServe(settings, process, console));
+  }
+
+  private ExitCode checkOrServe(
+      EntrySettings settings, VmProcess<EntrySettings> process, Console console) {
     if (onlyCheck) {
       console.out().println(settingsFile + ": valid");
       return ExitCode.OK;
     }
-    return serve(((EntrySettingsResult.Parsed) result).settings(), console);
+    EventLog eventLog = VmProcess.prepare(settings.vmName(), settings.assertions());
+    StopRequests stops = stopRequests.get();
+    return process.run(
+        EntryServer.start(settings, eventLog, stops::request),
+        server -> {
+          onReloadSignal.accept(() -> reload(server, process, eventLog));
+          awaitStop(stops);
+          return server.stop();
+        });
   }
 
-  private ExitCode serve(EntrySettings settings, Console console) {
-    if (settings.assertions()) {
-      // Read by RankedLock when its class is loaded, which happens after this point.
-      System.setProperty("kumquatvane.assertions", "true");
-    }
-    LogSetup.install(settings.vmName());
-    EventLog eventLog = new FloggerEventLog();
-    StopRequests stops = stopRequests.get();
-    EntryStartResult started = EntryServer.start(settings, eventLog, stops::request);
-    if (started instanceof EntryStartResult.Failed failed) {
-      console.err().println(failed.problem());
-      return ExitCode.UNREACHABLE;
-    }
-    EntryServer server = ((EntryStartResult.Started) started).server();
-    onReloadSignal.accept(() -> reload(server, console, eventLog));
+  private void awaitStop(StopRequests stops) {
     if (runSeconds > 0) {
       stops.await(Duration.ofSeconds(runSeconds));
     } else {
       stops.await();
     }
-    ServerClosing closing = server.stop();
-    return closing == ServerClosing.COMPLETE ? ExitCode.OK : ExitCode.DRAIN_DEADLINE;
   }
 
   /** Settings with faults change nothing; the faults are logged. */
-  private void reload(EntryServer server, Console console, EventLog eventLog) {
-    Optional<byte[]> bytes = InputFiles.read(settingsFile, console);
-    if (bytes.isEmpty()) {
+  private static void reload(
+      EntryServer server, VmProcess<EntrySettings> process, EventLog eventLog) {
+    Optional<SettingsResult<EntrySettings>> result = process.readSettings();
+    if (result.isEmpty()) {
       return;
     }
-    EntrySettingsResult result =
-        new EntrySettingsParser().parse(settingsFile.toString(), bytes.get());
-    if (result instanceof EntrySettingsResult.Parsed parsed) {
-      server.reload(parsed.settings());
-    } else {
+    if (result.get() instanceof SettingsResult.Invalid<EntrySettings> invalid) {
       eventLog.record(
           EventLog.Level.WARNING,
           "settings_reloaded",
           LogField.of("outcome", "refused"),
-          LogField.of("fault", ((EntrySettingsResult.Invalid) result).faults().get(0)));
+          LogField.of("fault", invalid.faults().get(0)));
+    } else {
+      server.reload(((SettingsResult.Parsed<EntrySettings>) result.get()).settings());
     }
   }
 }
--- a/kumquatvane-core/src/main/java/org/kumquatvane/core/KeyDigest.java
+++ b/kumquatvane-core/src/main/java/org/kumquatvane/core/KeyDigest.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
 import java.util.HexFormat;
 
@@ -24,12 +23,7 @@
    * @return its digest
    */
   public static KeyDigest ofKey(String key) {
-    try {
-      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-      return new KeyDigest(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java runtime provides SHA-256", e);
-    }
+    return new KeyDigest(Sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
   }
 
   /**
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ContentDigest.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ContentDigest.java
@@ -1,9 +1,7 @@
 package org.kumquatvane.distribution;
 
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.regex.Pattern;
+import org.kumquatvane.core.Sha256;
 
 /**
  * SHA-256 of a document's main bytes or of one fragment.
@@ -27,12 +25,7 @@
    * @return their digest
    */
   public static ContentDigest of(byte[] bytes) {
-    try {
-      byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
-      return new ContentDigest(HexFormat.of().formatHex(digest));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java runtime provides SHA-256", e);
-    }
+    return new ContentDigest(Sha256.hex(bytes));
   }
 
   @Override
--- a/kumquatvane-documents/src/main/java/org/kumquatvane/documents/DocumentParser.java
+++ b/kumquatvane-documents/src/main/java/org/kumquatvane/documents/DocumentParser.java
@@ -2,10 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.kumquatvane.core.Sha256;
 import org.kumquatvane.document.FleetPolicy;
 import org.kumquatvane.document.LimitMechanism;
 import org.kumquatvane.documents.internal.DocumentDraft;
-import org.kumquatvane.documents.internal.Sha256;
 import org.kumquatvane.json.FaultCollector;
 import org.kumquatvane.json.JsonLimits;
 import org.kumquatvane.json.JsonReader;
--- a/kumquatvane-documents/src/test/java/org/kumquatvane/documents/DocumentParserTest.java
+++ b/kumquatvane-documents/src/test/java/org/kumquatvane/documents/DocumentParserTest.java
@@ -24,9 +24,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.core.Sha256;
 import org.kumquatvane.document.Document;
 import org.kumquatvane.document.IdempotencyKeyRule;
-import org.kumquatvane.documents.internal.Sha256;
 import org.kumquatvane.json.Fault;
 
 @UseReporter(QuietReporter.class)
--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptRules.java
@@ -0,0 +1,88 @@
+package org.kumquatvane.engine.internal;
+
+import java.util.Optional;
+import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.Deadline;
+import org.kumquatvane.ejection.RequestFingerprint;
+import org.kumquatvane.engine.AuthorizedRequest;
+import org.kumquatvane.engine.BodyDescription;
+import org.kumquatvane.engine.EngineDependencies;
+import org.kumquatvane.retries.AttemptContext;
+import org.kumquatvane.retries.RetryContext;
+import org.kumquatvane.retries.RetryDecision;
+
+/** Decides how often and how long one request is tried. */
+final class AttemptRules {
+  private final EngineDependencies dependencies;
+  private final AuthorizedRequest request;
+  private final BodyDescription body;
+  private final RequestFingerprint fingerprint;
+
+  AttemptRules(
+      EngineDependencies dependencies,
+      AuthorizedRequest request,
+      BodyDescription body,
+      RequestFingerprint fingerprint) {
+    this.dependencies = dependencies;
+    this.request = request;
+    this.body = body;
+    this.fingerprint = fingerprint;
+  }
+
+  /** Tells whether the request may run more than once and its body can be sent again. */
+  boolean isRepeatable() {
+    return request.route().idempotent() && body.repeatable();
+  }
+
+  /**
+   * The last attempt that the route allows has no further one to make up for a failing instance.
+   */
+  boolean mayRepeatAfterNext(int attemptsMade) {
+    int limit = request.route().traffic().maximumAttempts();
+    return limit == 0 || attemptsMade + 1 < limit;
+  }
+
+  /** Decides whether another attempt follows a failed one. */
+  RetryDecision decide(AttemptFailure failure, int attemptsMade) {
+    if (dependencies.crashGuard().isBlocked(fingerprint)
+        || isRouteLimitReached(failure, attemptsMade)) {
+      return new RetryDecision.GiveUp();
+    }
+    return dependencies
+        .retries()
+        .decide(
+            new RetryContext(
+                request.service(),
+                request.route().idempotent(),
+                body.repeatable(),
+                attemptsMade,
+                failure,
+                request.deadline()));
+  }
+
+  /** Decides whether an attempt that may still be answered is dropped for another one. */
+  Optional<RetryDecision.Retry> decideDrop(AttemptFailure failure, int attemptsMade) {
+    return decide(failure, attemptsMade) instanceof RetryDecision.Retry retry
+        ? Optional.of(retry)
+        : Optional.empty();
+  }
+
+  /** Attempts that surely did not run count as well, but one more of them is allowed. */
+  private boolean isRouteLimitReached(AttemptFailure failure, int attemptsMade) {
+    int limit = request.route().traffic().maximumAttempts();
+    return limit > 0 && attemptsMade >= limit + (failure.isKnownNotRun() ? 1 : 0);
+  }
+
+  /** Returns when another instance is to be tried although the current one may still answer. */
+  Deadline attemptDeadline(int attemptsMade) {
+    return dependencies
+        .attemptDeadlines()
+        .attemptDeadline(
+            new AttemptContext(
+                request.service(),
+                request.route().id(),
+                isRepeatable(),
+                attemptsMade,
+                request.deadline()));
+  }
+}
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/Fingerprints.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/Fingerprints.java
@@ -1,6 +1,6 @@
 package org.kumquatvane.engine.internal;
 
-import org.kumquatvane.core.KeyDigest;
+import org.kumquatvane.core.Sha256;
 import org.kumquatvane.ejection.RequestFingerprint;
 import org.kumquatvane.engine.AuthorizedRequest;
 import org.kumquatvane.engine.BodyDescription;
@@ -22,7 +22,7 @@
   static RequestFingerprint of(AuthorizedRequest request, BodyDescription body) {
     String repeat = request.head().idempotencyKey().orElse(body.digest());
     return new RequestFingerprint(
-        digest(request.workspace().value() + SEPARATOR + methodAndPath(request) + repeat));
+        Sha256.hex(request.workspace().value() + SEPARATOR + methodAndPath(request) + repeat));
   }
 
   /**
@@ -33,14 +33,10 @@
    * @return hexadecimal digest
    */
   static String requestDigest(AuthorizedRequest request, BodyDescription body) {
-    return digest(methodAndPath(request) + body.digest());
+    return Sha256.hex(methodAndPath(request) + body.digest());
   }
 
   private static String methodAndPath(AuthorizedRequest request) {
     return request.head().method() + SEPARATOR + request.head().path() + SEPARATOR;
   }
-
-  private static String digest(String text) {
-    return KeyDigest.ofKey(text).hex();
-  }
 }
--- /dev/null
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/OperationGate.java
@@ -0,0 +1,91 @@
+package org.kumquatvane.engine.internal;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.Reason;
+import org.kumquatvane.document.IdempotencyKeyRule;
+import org.kumquatvane.engine.AuthorizedRequest;
+import org.kumquatvane.engine.BodyDescription;
+import org.kumquatvane.engine.EngineDependencies;
+import org.kumquatvane.engine.Refusal;
+import org.kumquatvane.operations.BeginVerdict;
+import org.kumquatvane.operations.Operation;
+import org.kumquatvane.operations.OperationResult;
+import org.kumquatvane.operations.RecordedAnswer;
+
+/** The record of the operation that a request names by its idempotency key, if it names one. */
+final class OperationGate {
+  private final EngineDependencies dependencies;
+  private final AuthorizedRequest request;
+  private final BodyDescription body;
+  private @Nullable Operation operation;
+
+  /** What follows from the record. */
+  interface Outcome {
+    /** The request may run; nothing else has run it. */
+    void proceed();
+
+    /** The operation has run; its answer is given again. */
+    void replay(RecordedAnswer answer);
+
+    /** The request must not run. */
+    void refuse(Refusal refusal);
+  }
+
+  OperationGate(EngineDependencies dependencies, AuthorizedRequest request, BodyDescription body) {
+    this.dependencies = dependencies;
+    this.request = request;
+    this.body = body;
+  }
+
+  /** Begins the operation, or goes on at once if the request names none. */
+  void begin(Outcome outcome) {
+    Optional<String> key = request.head().idempotencyKey();
+    if (key.isEmpty() || request.route().idempotencyKey() == IdempotencyKeyRule.IGNORED) {
+      outcome.proceed();
+      return;
+    }
+    Operation named =
+        new Operation(request.workspace(), key.get(), Fingerprints.requestDigest(request, body));
+    Consumer<BeginVerdict> decided = verdict -> decided(named, verdict, outcome);
+    dependencies.ledger().begin(named, request.deadline(), decided);
+  }
+
+  private void decided(Operation named, BeginVerdict verdict, Outcome outcome) {
+    if (verdict instanceof BeginVerdict.Proceed) {
+      operation = named;
+      outcome.proceed();
+    } else if (verdict instanceof BeginVerdict.Replay replay) {
+      outcome.replay(replay.answer());
+    } else if (verdict instanceof BeginVerdict.AnswerNotKept) {
+      outcome.refuse(Refusal.of(Reason.ANSWER_NOT_KEPT, "the operation has run before"));
+    } else if (verdict instanceof BeginVerdict.KeyReused) {
+      outcome.refuse(
+          Refusal.of(
+              Reason.IDEMPOTENCY_KEY_REUSED, "the Idempotency-Key was used with another request"));
+    } else if (verdict instanceof BeginVerdict.KeyMalformed) {
+      outcome.refuse(
+          Refusal.of(
+              Reason.IDEMPOTENCY_KEY_MALFORMED, "the Idempotency-Key is not a current UUIDv7"));
+    } else {
+      outcome.refuse(
+          Refusal.of(
+              Reason.OUTCOME_UNKNOWN, "an earlier request with this Idempotency-Key may have run"));
+    }
+  }
+
+  /** Tells whether an operation has begun and its answer is to be kept. */
+  boolean isRecording() {
+    return operation != null;
+  }
+
+  /** Records how the operation ended; without an operation nothing happens. */
+  void finish(OperationResult result) {
+    Operation named = operation;
+    if (named != null) {
+      operation = null;
+      dependencies.ledger().finish(named, result);
+    }
+  }
+}
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -14,7 +14,6 @@
 import org.kumquatvane.core.Reason;
 import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.core.WorkspaceId;
-import org.kumquatvane.document.IdempotencyKeyRule;
 import org.kumquatvane.ejection.RequestFingerprint;
 import org.kumquatvane.engine.AuthorizedRequest;
 import org.kumquatvane.engine.BodyDescription;
@@ -23,11 +22,8 @@
 import org.kumquatvane.engine.Refusal;
 import org.kumquatvane.engine.RunningRequest;
 import org.kumquatvane.limits.LimitDecision;
-import org.kumquatvane.operations.BeginVerdict;
-import org.kumquatvane.operations.Operation;
 import org.kumquatvane.operations.OperationResult;
-import org.kumquatvane.retries.AttemptContext;
-import org.kumquatvane.retries.RetryContext;
+import org.kumquatvane.operations.RecordedAnswer;
 import org.kumquatvane.retries.RetryDecision;
 import org.kumquatvane.selection.Reservation;
 import org.kumquatvane.selection.SlotNeed;
@@ -48,18 +44,18 @@
   private final EngineDependencies dependencies;
   private final SlotDispatcher dispatcher;
   private final AuthorizedRequest request;
-  private final BodyDescription body;
   private final Exchange exchange;
   private final Runnable onEnd;
   private final RequestFingerprint fingerprint;
   private final Deadline patientUntil;
   private final RequestLog requestLog;
+  private final OperationGate operation;
+  private final AttemptRules rules;
   private final AtomicBoolean ended = new AtomicBoolean();
   private final Set<InstanceId> tried = ConcurrentHashMap.newKeySet();
   private volatile @Nullable AttemptStep current;
   private volatile boolean callerLeft;
   private volatile Scheduler.@Nullable Scheduled queueDeadline;
-  private @Nullable Operation operation;
   private int attemptsMade;
   private String lastInstance = "";
   private boolean mayHaveRun;
@@ -84,11 +80,12 @@
     this.dependencies = dependencies;
     this.dispatcher = dispatcher;
     this.request = request;
-    this.body = body;
     this.exchange = exchange;
     this.onEnd = onEnd;
     fingerprint = Fingerprints.of(request, body);
     requestLog = new RequestLog(dependencies, request);
+    operation = new OperationGate(dependencies, request, body);
+    rules = new AttemptRules(dependencies, request, body, fingerprint);
     patientUntil =
         new Deadline(
             request.head().arrivalNanos()
@@ -123,42 +120,26 @@
   }
 
   private void recordOperation() {
-    Optional<String> key = request.head().idempotencyKey();
-    if (key.isEmpty() || request.route().idempotencyKey() == IdempotencyKeyRule.IGNORED) {
-      enqueue();
-      return;
-    }
-    Operation named =
-        new Operation(request.workspace(), key.get(), Fingerprints.requestDigest(request, body));
-    dependencies
-        .ledger()
-        .begin(named, request.deadline(), verdict -> operationDecided(named, verdict));
-  }
-
-  private void operationDecided(Operation named, BeginVerdict verdict) {
-    if (verdict instanceof BeginVerdict.Proceed) {
-      operation = named;
-      enqueue();
-    } else if (verdict instanceof BeginVerdict.Replay replay) {
-      dependencies.counters().add("operations.replayed", 1);
-      if (end()) {
-        exchange.replay(replay.answer());
-      }
-    } else if (verdict instanceof BeginVerdict.AnswerNotKept) {
-      refuse(Refusal.of(Reason.ANSWER_NOT_KEPT, "the operation has run before"));
-    } else if (verdict instanceof BeginVerdict.KeyReused) {
-      refuse(
-          Refusal.of(
-              Reason.IDEMPOTENCY_KEY_REUSED, "the Idempotency-Key was used with another request"));
-    } else if (verdict instanceof BeginVerdict.KeyMalformed) {
-      refuse(
-          Refusal.of(
-              Reason.IDEMPOTENCY_KEY_MALFORMED, "the Idempotency-Key is not a current UUIDv7"));
-    } else {
-      refuse(
-          Refusal.of(
-              Reason.OUTCOME_UNKNOWN, "an earlier request with this Idempotency-Key may have run"));
-    }
+    operation.begin(
+        new OperationGate.Outcome() {
+          @Override
+          public void proceed() {
+            enqueue();
+          }
+
+          @Override
+          public void replay(RecordedAnswer answer) {
+            dependencies.counters().add("operations.replayed", 1);
+            if (end()) {
+              exchange.replay(answer);
+            }
+          }
+
+          @Override
+          public void refuse(Refusal refusal) {
+            RequestFlow.this.refuse(refusal);
+          }
+        });
   }
 
   private void enqueue() {
@@ -208,7 +189,7 @@
 
   @Override
   public boolean repeatable() {
-    return request.route().idempotent() && body.repeatable();
+    return rules.isRepeatable();
   }
 
   @Override
@@ -218,7 +199,8 @@
   }
 
   private SlotNeed slotNeed(Set<InstanceId> excluded) {
-    return new SlotNeed(excluded, repeatable() && mayRepeatAgain(), patientUntil);
+    return new SlotNeed(
+        excluded, repeatable() && rules.mayRepeatAfterNext(attemptsMade), patientUntil);
   }
 
   @Override
@@ -259,7 +241,7 @@
     lastInstance = reservation.instance().id().value();
     AttemptStep step = new AttemptStep(this, dependencies, request, reservation);
     current = step;
-    step.start(exchange, operation != null);
+    step.start(exchange, operation.isRecording());
     if (callerLeft) {
       callerLeft();
     }
@@ -271,7 +253,7 @@
     if (failure == AttemptFailure.CONNECTION_LOST && instanceGone) {
       dependencies.crashGuard().instanceLost(fingerprint, instance);
     }
-    RetryDecision decision = decideRetry(failure);
+    RetryDecision decision = rules.decide(failure, attemptsMade);
     requestLog.attemptFailed(
         attemptsMade,
         lastInstance,
@@ -291,9 +273,7 @@
 
   /** Decides whether an attempt that may still be answered is dropped for another one. */
   Optional<RetryDecision.Retry> retryInstead(AttemptFailure failure) {
-    return !callerLeft && decideRetry(failure) instanceof RetryDecision.Retry retry
-        ? Optional.of(retry)
-        : Optional.empty();
+    return callerLeft ? Optional.empty() : rules.decideDrop(failure, attemptsMade);
   }
 
   /** Makes another attempt after one that was dropped; its slot has been given back. */
@@ -307,15 +287,7 @@
 
   /** Returns when another instance is to be tried although the current one may still answer. */
   Deadline attemptDeadline() {
-    return dependencies
-        .attemptDeadlines()
-        .attemptDeadline(
-            new AttemptContext(
-                request.service(),
-                request.route().id(),
-                request.route().idempotent() && body.repeatable(),
-                attemptsMade,
-                request.deadline()));
+    return rules.attemptDeadline(attemptsMade);
   }
 
   /** Takes note of an instance that answered and so was not ended by the request. */
@@ -323,36 +295,6 @@
     dependencies.crashGuard().answered(fingerprint, instance);
   }
 
-  private RetryDecision decideRetry(AttemptFailure failure) {
-    if (dependencies.crashGuard().isBlocked(fingerprint) || isRouteLimitReached(failure)) {
-      return new RetryDecision.GiveUp();
-    }
-    return dependencies
-        .retries()
-        .decide(
-            new RetryContext(
-                request.service(),
-                request.route().idempotent(),
-                body.repeatable(),
-                attemptsMade,
-                failure,
-                request.deadline()));
-  }
-
-  /**
-   * The last attempt that the route allows has no further one to make up for a failing instance.
-   */
-  private boolean mayRepeatAgain() {
-    int limit = request.route().traffic().maximumAttempts();
-    return limit == 0 || attemptsMade + 1 < limit;
-  }
-
-  /** Attempts that surely did not run count as well, but one more of them is allowed. */
-  private boolean isRouteLimitReached(AttemptFailure failure) {
-    int limit = request.route().traffic().maximumAttempts();
-    return limit > 0 && attemptsMade >= limit + (failure.isKnownNotRun() ? 1 : 0);
-  }
-
   private void retry() {
     if (callerLeft) {
       abandon();
@@ -369,7 +311,7 @@
 
   /** Ends the request after its answer was passed on, whole or as far as it came. */
   void answered(OperationResult result, int status, String delivery) {
-    finishOperation(result);
+    operation.finish(result);
     if (end()) {
       requestLog.ended(
           "request_answered",
@@ -402,7 +344,7 @@
   /** Ends a request that nobody waits for. */
   void abandon() {
     dependencies.counters().add("requests.abandoned", 1);
-    finishOperation(mayHaveRun ? new OperationResult.Unknown() : new OperationResult.NotRun());
+    operation.finish(mayHaveRun ? new OperationResult.Unknown() : new OperationResult.NotRun());
     if (end()) {
       requestLog.ended(
           "request_abandoned", attemptsMade, lastInstance, LogField.of("may_have_run", mayHaveRun));
@@ -423,7 +365,7 @@
             Invariant.NOT_RUN_IS_TRUE,
             refusal.execution() != ExecutionStatus.NOT_RUN || !mayHaveRun,
             "request=" + request.head().id() + " reason=" + refusal.reason().code());
-    finishOperation(
+    operation.finish(
         mayHaveRun || refusal.execution() != ExecutionStatus.NOT_RUN
             ? new OperationResult.Unknown()
             : new OperationResult.NotRun());
@@ -440,14 +382,6 @@
     }
   }
 
-  private void finishOperation(OperationResult result) {
-    Operation named = operation;
-    if (named != null) {
-      operation = null;
-      dependencies.ledger().finish(named, result);
-    }
-  }
-
   private boolean end() {
     if (!ended.compareAndSet(false, true)) {
       return false;
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/MessageHeads.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/MessageHeads.java
@@ -3,8 +3,10 @@
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpRequestMetaData;
 import java.util.Iterator;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.kumquatvane.engine.Refusal;
 import org.kumquatvane.http.internal.Bodies;
 import org.kumquatvane.http.internal.HeadReader;
@@ -61,4 +63,20 @@
   public static boolean isOfConnection(String lowerCase) {
     return HeaderNames.isHopByHop(lowerCase);
   }
+
+  /**
+   * Adds fields of one message to another, with their names in lower case.
+   *
+   * @param from the fields
+   * @param receiver gets those that are passed on
+   * @param isPassedOn decides by the name in lower case
+   */
+  public static void copy(HttpHeaders from, HttpHeaders receiver, Predicate<String> isPassedOn) {
+    for (Map.Entry<CharSequence, CharSequence> field : from) {
+      String name = HeaderNames.lowerCase(field.getKey());
+      if (isPassedOn.test(name)) {
+        receiver.add(name, field.getValue());
+      }
+    }
+  }
 }
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/OwnDialect.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/OwnDialect.java
@@ -63,11 +63,7 @@
       AttemptPlan plan,
       long remainingMillis) {
     HttpHeaders headers = outgoing.headers();
-    for (Map.Entry<CharSequence, CharSequence> field : request.headers()) {
-      if (HeaderNames.isForwardedToBackend(field.getKey())) {
-        headers.add(field.getKey(), field.getValue());
-      }
-    }
+    MessageHeads.copy(request.headers(), headers, HeaderNames::isForwardedToBackend);
     headers.set(HeaderNames.REQUEST_ID, plan.request().value());
     headers.set(HeaderNames.WORKSPACE, plan.workspace().value());
     headers.set(HeaderNames.TIMEOUT_MILLIS, Long.toString(Math.max(1, remainingMillis)));
@@ -117,11 +113,7 @@
       StreamingHttpResponse answer,
       RequestId requestId,
       int attempts) {
-    for (Map.Entry<CharSequence, CharSequence> field : upstream.headers()) {
-      if (HeaderNames.isForwardedToCaller(field.getKey())) {
-        answer.headers().add(HeaderNames.lowerCase(field.getKey()), field.getValue());
-      }
-    }
+    MessageHeads.copy(upstream.headers(), answer.headers(), HeaderNames::isForwardedToCaller);
     HeaderNames.stamp(answer, ExecutionStatus.RUN, requestId, attempts);
   }
 
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyReader.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyReader.java
@@ -6,12 +6,10 @@
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import java.io.ByteArrayOutputStream;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.kumquatvane.core.Reason;
+import org.kumquatvane.core.Sha256;
 import org.kumquatvane.document.IdempotencyKeyRule;
 import org.kumquatvane.document.Route;
 import org.kumquatvane.engine.BodyDescription;
@@ -23,7 +21,7 @@
  * of at most {@code bufferedBodyBytes} is buffered, everything else is streamed and sent once.
  */
 final class BodyReader {
-  private static final String EMPTY_DIGEST = digest(new byte[0]);
+  private static final String EMPTY_DIGEST = Sha256.hex(new byte[0]);
 
   private final BodyLimits limits;
   private final BufferBudget budget;
@@ -83,7 +81,7 @@
   private static BodyResult ready(byte[] bytes, long reservedBytes, BufferAllocator allocator) {
     return new BodyResult.Ready(
         new CallerBody(
-            new BodyDescription(true, digest(bytes)),
+            new BodyDescription(true, Sha256.hex(bytes)),
             bytes.length,
             reservedBytes,
             Publisher.defer(() -> Publisher.from(allocator.wrap(bytes)))));
@@ -117,12 +115,4 @@
     return new BodyResult.Refused(
         Refusal.of(Reason.BODY_TOO_LARGE, "the body may have " + maximumBytes + " bytes"));
   }
-
-  private static String digest(byte[] bytes) {
-    try {
-      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java runtime provides SHA-256", e);
-    }
-  }
 }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/DemandReport.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/DemandReport.java
@@ -7,10 +7,9 @@
 /**
  * Requests that a VM has counted for each workspace since its last report.
  *
- * @param elapsedMillis time since its last report
  * @param demands workspaces with requests
  */
-public record DemandReport(long elapsedMillis, List<Demand> demands) implements PeerMessage {
+public record DemandReport(List<Demand> demands) implements PeerMessage {
   /** Copies the list. */
   public DemandReport {
     demands = List.copyOf(demands);
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
@@ -51,8 +51,6 @@
   /** What a refused caller is told: the time in which the fraction follows the demand. */
   private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
-  private static final double MILLIS_PER_SECOND = 1000;
-
   private final RankedLock lock = new RankedLock(LockRank.LIMITS);
   private final VmId self;
   private final Supplier<List<VmId>> coordinators;
@@ -192,7 +190,7 @@
             demands.add(new DemandReport.Demand(workspace, counted.arrived(), counted.admitted()));
           }
         });
-    reports.add(new DemandReport((long) (seconds * MILLIS_PER_SECOND), demands));
+    reports.add(new DemandReport(demands));
     noteLoss();
     if (order.isEmpty()) {
       return Optional.empty();
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipMembership.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipMembership.java
@@ -1,27 +1,22 @@
 package org.kumquatvane.membership;
 
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.sampling.ListSampler;
-import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.FailureDomain;
 import org.kumquatvane.core.LockRank;
-import org.kumquatvane.core.LogField;
 import org.kumquatvane.core.PeerMessageHandler;
 import org.kumquatvane.core.PeerSender;
 import org.kumquatvane.core.RankedLock;
 import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.core.VmId;
+import org.kumquatvane.membership.internal.MemberTable;
 
 /**
  * Members of the fleet, found through seeds and spread by gossip, without a list from outside.
@@ -32,21 +27,6 @@
  * reached before anything is known of it.
  */
 public final class GossipMembership implements PeerMessageHandler<MemberReport> {
-  /** Entries in an ordinary report beside the sender's own; about 1 KB. */
-  private static final int SAMPLE = 20;
-
-  /** New VMs in a report beyond the sample; a fleet that starts at once spreads within seconds. */
-  private static final int MAXIMUM_NEWS = 160;
-
-  /** Reports of this VM that name a new VM first; others tell it on. */
-  private static final int TELLINGS = 8;
-
-  /** Entries of other domains in an ordinary report; they need be known less exactly. */
-  private static final int FAR_SAMPLE = 10;
-
-  /** VMs of other domains are heard of through others only, and so count as down later. */
-  private static final int FAR_PATIENCE = 3;
-
   /** VMs of a domain that exchange reports with the other domains. */
   private static final int BRIDGES = 2;
 
@@ -70,27 +50,12 @@
   private final Clock clock;
   private final Scheduler scheduler;
   private final UniformRandomProvider random;
-  private final EventLog eventLog;
-  private final Map<VmId, Entry> entries = new TreeMap<>();
+  private final MemberTable table;
   private long heartbeat;
   private long listVersion;
   private boolean leaving;
   private volatile List<SocketEndpoint> seeds;
 
-  private static final class Entry {
-    private Member member;
-    private Deadline downAt;
-    private Deadline forgottenAt;
-    private boolean reportedDown;
-    private int tellings = TELLINGS;
-
-    private Entry(Member member, Deadline downAt, Deadline forgottenAt) {
-      this.member = member;
-      this.downAt = downAt;
-      this.forgottenAt = forgottenAt;
-    }
-  }
-
   /**
    * Creates a membership that knows the seeds only.
    *
@@ -119,7 +84,7 @@
     this.clock = clock;
     this.scheduler = scheduler;
     this.random = random;
-    this.eventLog = eventLog;
+    table = new MemberTable(self, settings, clock, random, eventLog);
     incarnation = clock.epochMillis();
     seeds = settings.seeds();
   }
@@ -158,24 +123,25 @@
           heartbeat++;
           boolean isBridge = addPeers(peers);
           addSeeds(asked, isBridge, peers.isEmpty());
-          reports.add(report());
-          reports.add(new MemberReport(reports.get(0).members(), true));
+          List<Member> news = table.news(ownEntry());
+          reports.add(new MemberReport(news, false));
+          reports.add(new MemberReport(news, true));
         });
     peers.forEach(peer -> sender.send(peer, reports.get(0)));
     asked.forEach(seed -> sender.send(seed, reports.get(1)));
-    if (expire()) {
+    if (lock.call(table::expire)) {
       publish();
     }
     scheduler.schedule(Deadline.after(clock, settings.interval()), this::round);
   }
 
   private boolean addPeers(List<VmId> peers) {
-    List<Vm> near = liveIn(self.failureDomain());
+    List<Vm> near = table.liveIn(self.failureDomain());
     addRandom(peers, near);
     boolean isBridge = isBridge(near);
     if (isBridge) {
-      for (FailureDomain domain : otherDomains()) {
-        addRandom(peers, liveIn(domain));
+      for (FailureDomain domain : table.otherDomains()) {
+        addRandom(peers, table.liveIn(domain));
       }
     }
     return isBridge;
@@ -203,56 +169,6 @@
     return order.subList(0, Math.min(BRIDGES, order.size())).contains(self);
   }
 
-  private List<FailureDomain> otherDomains() {
-    return entries.values().stream()
-        .map(entry -> entry.member.vm().failureDomain())
-        .filter(domain -> !domain.equals(self.failureDomain()))
-        .distinct()
-        .toList();
-  }
-
-  private List<Vm> liveIn(FailureDomain domain) {
-    return entries.values().stream()
-        .filter(this::isLive)
-        .map(entry -> entry.member.vm())
-        .filter(vm -> vm.failureDomain().equals(domain))
-        .toList();
-  }
-
-  private boolean isLive(Entry entry) {
-    return !entry.downAt.isReached(clock) && entry.member.vm().state() == VmState.LIVE;
-  }
-
-  /** Writes the own entry, then VMs that few others may know yet, then a sample of the others. */
-  private MemberReport report() {
-    List<Member> members = new ArrayList<>();
-    members.add(ownEntry());
-    List<Member> near = new ArrayList<>();
-    List<Member> far = new ArrayList<>();
-    for (Entry entry : entries.values()) {
-      if (entry.downAt.isReached(clock)) {
-        continue;
-      }
-      if (entry.tellings > 0 && members.size() < MAXIMUM_NEWS) {
-        entry.tellings--;
-        members.add(entry.member);
-      } else {
-        (isNear(entry.member.vm()) ? near : far).add(entry.member);
-      }
-    }
-    members.addAll(sample(near, SAMPLE));
-    members.addAll(sample(far, FAR_SAMPLE));
-    return new MemberReport(members, false);
-  }
-
-  private List<Member> sample(List<Member> members, int size) {
-    return members.size() <= size ? members : ListSampler.sample(random, members, size);
-  }
-
-  private boolean isNear(Vm vm) {
-    return vm.failureDomain().equals(self.failureDomain());
-  }
-
   private Member ownEntry() {
     VmState state = leaving ? VmState.LEAVING : VmState.LIVE;
     return new Member(
@@ -261,91 +177,15 @@
 
   @Override
   public void handle(VmId from, MemberReport message) {
-    boolean changed = lock.call(() -> merge(message.members()));
+    boolean changed = lock.call(() -> table.merge(message.members()));
     if (changed) {
       publish();
     }
     if (message.wantsAnswer()) {
-      sender.send(from, lock.call(this::answer));
+      sender.send(from, new MemberReport(lock.call(() -> table.everything(ownEntry())), false));
     }
   }
 
-  /** Answers with everything, since the sender may have just started. */
-  private MemberReport answer() {
-    List<Member> members = new ArrayList<>();
-    members.add(ownEntry());
-    entries.values().stream()
-        .filter(entry -> !entry.downAt.isReached(clock))
-        .limit(MemberReport.MAXIMUM_ENTRIES - 1)
-        .forEach(entry -> members.add(entry.member));
-    return new MemberReport(members, false);
-  }
-
-  private boolean merge(Collection<Member> members) {
-    boolean changed = false;
-    for (Member member : members) {
-      Vm vm = member.vm();
-      if (vm.id().equals(self.id())) {
-        continue;
-      }
-      Entry known = entries.get(vm.id());
-      if (known == null) {
-        entries.put(vm.id(), new Entry(member, downAt(vm), forgottenAt()));
-        eventLog.record(
-            EventLog.Level.INFO,
-            "vm_joined",
-            LogField.of("peer", vm.id()),
-            LogField.of("failure_domain", vm.failureDomain()),
-            LogField.of("incarnation", member.incarnation()));
-        changed = true;
-      } else if (member.isNewerThan(known.member)) {
-        changed |= known.member.vm().state() != vm.state() || known.reportedDown;
-        known.member = member;
-        markAlive(known);
-      }
-    }
-    return changed;
-  }
-
-  private void markAlive(Entry entry) {
-    entry.downAt = downAt(entry.member.vm());
-    entry.forgottenAt = forgottenAt();
-    entry.reportedDown = false;
-  }
-
-  private Deadline downAt(Vm vm) {
-    return Deadline.after(clock, silence(vm));
-  }
-
-  /** A VM is forgotten only after all others take it for down, or they would bring it back. */
-  private Deadline forgottenAt() {
-    return Deadline.after(
-        clock, settings.silence().multipliedBy(FAR_PATIENCE).plus(settings.retention()));
-  }
-
-  private Duration silence(Vm vm) {
-    return isNear(vm) ? settings.silence() : settings.silence().multipliedBy(FAR_PATIENCE);
-  }
-
-  private boolean expire() {
-    return lock.call(
-        () -> {
-          boolean changed = false;
-          for (Entry entry : entries.values()) {
-            if (!entry.reportedDown && entry.downAt.isReached(clock)) {
-              entry.reportedDown = true;
-              changed = true;
-              eventLog.record(
-                  EventLog.Level.INFO,
-                  "vm_silent",
-                  LogField.of("peer", entry.member.vm().id()),
-                  LogField.of("silent_ms", settings.silence().toMillis()));
-            }
-          }
-          return entries.values().removeIf(entry -> entry.forgottenAt.isReached(clock)) || changed;
-        });
-  }
-
   /** Tells the listeners which VMs may be sent to: members that are not down, and the seeds. */
   private void publish() {
     VmList list =
@@ -356,11 +196,7 @@
                   .map(GossipMembership::seed)
                   .filter(seed -> !seed.id().equals(self.id()))
                   .forEach(seed -> vms.put(seed.id(), seed));
-              for (Entry entry : entries.values()) {
-                if (!entry.reportedDown) {
-                  vms.put(entry.member.vm().id(), entry.member.vm());
-                }
-              }
+              table.reachable().forEach(vm -> vms.put(vm.id(), vm));
               return new VmList(++listVersion, List.copyOf(vms.values()), List.of());
             });
     listeners.forEach(listener -> listener.vmListChanged(list));
@@ -377,13 +213,7 @@
    * @param vm the sender
    */
   public void heard(VmId vm) {
-    lock.run(
-        () -> {
-          @Nullable Entry entry = entries.get(vm);
-          if (entry != null && !entry.reportedDown) {
-            markAlive(entry);
-          }
-        });
+    lock.run(() -> table.heard(vm));
   }
 
   /**
@@ -392,7 +222,7 @@
    * @return their names
    */
   public List<VmId> nearPeers() {
-    return lock.call(() -> liveIn(self.failureDomain()).stream().map(Vm::id).toList());
+    return lock.call(() -> table.liveIn(self.failureDomain()).stream().map(Vm::id).toList());
   }
 
   /**
@@ -401,12 +231,7 @@
    * @return their names
    */
   public List<VmId> allPeers() {
-    return lock.call(
-        () ->
-            entries.values().stream()
-                .filter(this::isLive)
-                .map(entry -> entry.member.vm().id())
-                .toList());
+    return lock.call(() -> table.live().stream().map(Vm::id).toList());
   }
 
   /**
@@ -419,9 +244,7 @@
         () -> {
           List<Vm> vms = new ArrayList<>();
           vms.add(self);
-          entries.values().stream()
-              .filter(this::isLive)
-              .forEach(entry -> vms.add(entry.member.vm()));
+          vms.addAll(table.live());
           return vms;
         });
   }
@@ -435,7 +258,7 @@
   public int rank(String task) {
     return lock.call(
         () -> {
-          List<Vm> vms = new ArrayList<>(liveIn(self.failureDomain()));
+          List<Vm> vms = new ArrayList<>(table.liveIn(self.failureDomain()));
           vms.add(self);
           return Rendezvous.order(task, vms).indexOf(self);
         });
@@ -447,13 +270,7 @@
    * @return VMs, at least 1
    */
   public int possibleVms() {
-    return lock.call(
-        () ->
-            1
-                + (int)
-                    entries.values().stream()
-                        .filter(entry -> entry.member.vm().state() == VmState.LIVE)
-                        .count());
+    return lock.call(() -> 1 + table.possiblyRunning());
   }
 
   /** Announces the planned stop to all near VMs. */
--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/Member.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/Member.java
@@ -14,7 +14,7 @@
    * @param other the other entry
    * @return whether this one is newer
    */
-  boolean isNewerThan(Member other) {
+  public boolean isNewerThan(Member other) {
     return incarnation != other.incarnation
         ? incarnation > other.incarnation
         : heartbeat > other.heartbeat;
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/DemandReportCodec.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/DemandReportCodec.java
@@ -7,8 +7,7 @@
 
 /** Codec of {@link DemandReport}. */
 public final class DemandReportCodec implements MessageCodec<DemandReport> {
-  private static final int ELAPSED_MILLIS = 1;
-  private static final int DEMANDS = 2;
+  private static final int DEMANDS = 1;
   private static final int WORKSPACE = 1;
   private static final int ARRIVED = 2;
   private static final int ADMITTED = 3;
@@ -25,7 +24,6 @@
 
   @Override
   public void write(DemandReport message, FieldWriter fields) throws IOException {
-    fields.integer(ELAPSED_MILLIS, message.elapsedMillis());
     fields.list(DEMANDS, message.demands(), DemandReportCodec::writeDemand);
   }
 
@@ -38,16 +36,14 @@
 
   @Override
   public DemandReport read(FieldReader fields) throws IOException {
-    long elapsedMillis = 0;
     List<DemandReport.Demand> demands = List.of();
     for (int field = fields.next(); field >= 0; field = fields.next()) {
       switch (field) {
-        case ELAPSED_MILLIS -> elapsedMillis = fields.integer();
         case DEMANDS -> demands = fields.list(DemandReportCodec::readDemand);
         default -> fields.skip();
       }
     }
-    return new DemandReport(elapsedMillis, demands);
+    return new DemandReport(demands);
   }
 
   private static DemandReport.Demand readDemand(FieldReader fields) throws IOException {
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -124,7 +124,7 @@
         new LeaseGrant(5, WORKSPACE, 0.125, 3.5, 900_000_000),
         new TokenRequest(6, WORKSPACE, 2, true, 100),
         new TokenGrant(6, WORKSPACE, 0, 50),
-        new DemandReport(300, List.of(new DemandReport.Demand(WORKSPACE, 7, 5))),
+        new DemandReport(List.of(new DemandReport.Demand(WORKSPACE, 7, 5))),
         new DemandShare(List.of(new DemandShare.Share(WORKSPACE, 0.25, 88.5))));
   }
 
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
@@ -174,12 +174,12 @@
    * @param onDrainRequest called when an operator asks for a planned stop
    * @return the running server, or why it cannot start
    */
-  public static EntryStartResult start(
+  public static StartResult<EntryServer> start(
       EntrySettings settings, EventLog eventLog, Runnable onDrainRequest) {
     try {
-      return new EntryStartResult.Started(new EntryServer(settings, eventLog, onDrainRequest));
+      return new StartResult.Started<>(new EntryServer(settings, eventLog, onDrainRequest));
     } catch (IOException | GeneralSecurityException e) {
-      return new EntryStartResult.Failed(
+      return new StartResult.Failed<>(
           e.getMessage() + "; correct the settings or free the address");
     }
   }
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -157,11 +157,13 @@
    * @param onDrainRequest called when an operator asks for a planned stop
    * @return the running server, or why it cannot start
    */
-  public static StartResult start(Settings settings, EventLog eventLog, Runnable onDrainRequest) {
+  public static StartResult<ProxyServer> start(
+      Settings settings, EventLog eventLog, Runnable onDrainRequest) {
     try {
-      return new StartResult.Started(new ProxyServer(settings, eventLog, onDrainRequest));
+      return new StartResult.Started<>(new ProxyServer(settings, eventLog, onDrainRequest));
     } catch (IOException | GeneralSecurityException e) {
-      return new StartResult.Failed(e.getMessage() + "; correct the settings or free the address");
+      return new StartResult.Failed<>(
+          e.getMessage() + "; correct the settings or free the address");
     }
   }
 
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/StartResult.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/StartResult.java
@@ -1,18 +1,24 @@
 package org.kumquatvane.server;
 
-/** Outcome of starting a process. */
-public sealed interface StartResult {
+/**
+ * Outcome of starting a process.
+ *
+ * @param <S> type of the server
+ */
+public sealed interface StartResult<S> {
   /**
    * The process listens.
    *
    * @param server the running server
+   * @param <S> type of the server
    */
-  record Started(ProxyServer server) implements StartResult {}
+  record Started<S>(S server) implements StartResult<S> {}
 
   /**
    * The process cannot start.
    *
    * @param problem what went wrong and what to do about it
+   * @param <S> type of the server
    */
-  record Failed(String problem) implements StartResult {}
+  record Failed<S>(String problem) implements StartResult<S> {}
 }
--- a/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
@@ -40,18 +40,18 @@
    * @param bytes the input
    * @return the settings, or everything that is wrong with them
    */
-  public EntrySettingsResult parse(String source, byte[] bytes) {
+  public SettingsResult<EntrySettings> parse(String source, byte[] bytes) {
     FaultCollector faults = new FaultCollector();
     Optional<JsonValue> root = reader.read(source, bytes, faults);
     if (root.isEmpty()) {
-      return new EntrySettingsResult.Invalid(faults.faults());
+      return new SettingsResult.Invalid<>(faults.faults());
     }
     ObjectReader main = ObjectReader.ofRoot(source, root.get(), faults);
     EntrySettings settings = read(main);
     main.finish();
     return faults.isEmpty()
-        ? new EntrySettingsResult.Parsed(settings)
-        : new EntrySettingsResult.Invalid(faults.faults());
+        ? new SettingsResult.Parsed<>(settings)
+        : new SettingsResult.Invalid<>(faults.faults());
   }
 
   private static EntrySettings read(ObjectReader main) {
--- a/kumquatvane-settings/src/main/java/org/kumquatvane/settings/SettingsParser.java
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/SettingsParser.java
@@ -52,18 +52,18 @@
    * @param bytes the input
    * @return the settings, or everything that is wrong with them
    */
-  public SettingsResult parse(String source, byte[] bytes) {
+  public SettingsResult<Settings> parse(String source, byte[] bytes) {
     FaultCollector faults = new FaultCollector();
     Optional<JsonValue> root = reader.read(source, bytes, faults);
     if (root.isEmpty()) {
-      return new SettingsResult.Invalid(faults.faults());
+      return new SettingsResult.Invalid<>(faults.faults());
     }
     ObjectReader main = ObjectReader.ofRoot(source, root.get(), faults);
     Settings settings = readSettings(main);
     main.finish();
     return faults.isEmpty()
-        ? new SettingsResult.Parsed(settings)
-        : new SettingsResult.Invalid(faults.faults());
+        ? new SettingsResult.Parsed<>(settings)
+        : new SettingsResult.Invalid<>(faults.faults());
   }
 
   private static Settings readSettings(ObjectReader main) {
--- a/kumquatvane-settings/src/main/java/org/kumquatvane/settings/SettingsResult.java
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/SettingsResult.java
@@ -3,21 +3,27 @@
 import java.util.List;
 import org.kumquatvane.json.Fault;
 
-/** Outcome of reading settings. */
-public sealed interface SettingsResult {
+/**
+ * Outcome of reading settings.
+ *
+ * @param <S> type of the settings
+ */
+public sealed interface SettingsResult<S> {
   /**
    * The input is valid.
    *
    * @param settings the settings
+   * @param <S> type of the settings
    */
-  record Parsed(Settings settings) implements SettingsResult {}
+  record Parsed<S>(S settings) implements SettingsResult<S> {}
 
   /**
    * The input is not valid.
    *
    * @param faults everything that is wrong, at least one
+   * @param <S> type of the settings
    */
-  record Invalid(List<Fault> faults) implements SettingsResult {
+  record Invalid<S>(List<Fault> faults) implements SettingsResult<S> {
     /** Copies the list. */
     public Invalid {
       faults = List.copyOf(faults);
--- a/kumquatvane-settings/src/test/java/org/kumquatvane/settings/SettingsParserTest.java
+++ b/kumquatvane-settings/src/test/java/org/kumquatvane/settings/SettingsParserTest.java
@@ -32,22 +32,23 @@
 
   private final SettingsParser parser = new SettingsParser();
 
-  private SettingsResult parse(String text) {
+  private SettingsResult<Settings> parse(String text) {
     return parser.parse("settings", text.getBytes(StandardCharsets.UTF_8));
   }
 
   /** Guards against an example that the parser no longer accepts. */
   @Test
   void acceptsTheExample() throws IOException {
-    SettingsResult result = parse(Files.readString(EXAMPLE));
+    SettingsResult<Settings> result = parse(Files.readString(EXAMPLE));
     assertInstanceOf(SettingsResult.Parsed.class, result, result::toString);
   }
 
   /** Guards against defaults that differ from docs/configuration.md, and against shown secrets. */
   @Test
   void fillsInTheDefaults() {
-    SettingsResult result = parse(MINIMAL);
-    Settings settings = assertInstanceOf(SettingsResult.Parsed.class, result).settings();
+    SettingsResult<Settings> result = parse(MINIMAL);
+    SettingsResult.Parsed<?> parsed = assertInstanceOf(SettingsResult.Parsed.class, result);
+    Settings settings = assertInstanceOf(Settings.class, parsed.settings());
     assertFalse(settings.toString().contains("0123456789abcdef"));
     Approvals.verify(settings.toString().replace("], ", "],\n"));
   }
@@ -66,11 +67,10 @@
          "heartbeatIntervalMillis": 1000, "promiseMillis": 1999, "floorLeaseMillis": 1998,
          "clockSkewMillis": 5000, "operationRetentionMillis": 5000, "assertions": "on"}
         """;
-    SettingsResult result = parse(text);
+    SettingsResult<Settings> result = parse(text);
+    SettingsResult.Invalid<?> invalid = assertInstanceOf(SettingsResult.Invalid.class, result);
     Approvals.verify(
-        assertInstanceOf(SettingsResult.Invalid.class, result).faults().stream()
-            .map(Fault::toString)
-            .collect(Collectors.joining("\n")));
+        invalid.faults().stream().map(Fault::toString).collect(Collectors.joining("\n")));
   }
 
   /** Guards against an admin API that other machines can reach without a token. */
@@ -93,17 +93,17 @@
             + "\""
             + (token.isEmpty() ? "" : ", \"" + field[0] + "\": \"" + field[1] + "\"")
             + "}";
-    SettingsResult result = parse(MINIMAL.replace("\"adminListener\": {}", admin));
-    assertEquals(accepted, result instanceof SettingsResult.Parsed, result::toString);
+    SettingsResult<Settings> result = parse(MINIMAL.replace("\"adminListener\": {}", admin));
+    assertEquals(accepted, result instanceof SettingsResult.Parsed<Settings>, result::toString);
   }
 
   /** Guards against crashes on damaged settings. */
   @Property(tries = 1_000, seed = "20261207")
   void acceptsOrExplainsDamagedSettings(@ForAll int position, @ForAll char replacement) {
     int at = Math.floorMod(position, MINIMAL.length());
-    SettingsResult result =
+    SettingsResult<Settings> result =
         parse(MINIMAL.substring(0, at) + replacement + MINIMAL.substring(at + 1));
-    if (result instanceof SettingsResult.Invalid invalid) {
+    if (result instanceof SettingsResult.Invalid<Settings> invalid) {
       assertTrue(!invalid.faults().isEmpty());
     }
   }
