Let an entry VM listen for peers at another address than its name; test its settings

Cause: the soak needs a faulty network between VMs, and a VM bound its peer listener to the address that names it; the parser of the entry settings had no test. Change: peerListenAddress, by default the peer address; EntrySettingsParserTest covers defaults and faults.

--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryFleet.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryFleet.java
@@ -37,7 +37,7 @@
     network =
         new PeerNetwork(
             self,
-            PeerNetworkSettings.forDenseMesh(settings.peerEndpoint()),
+            PeerNetworkSettings.forDenseMesh(settings.peerListenEndpoint()),
             new FleetSecret(settings.fleetSecret().getBytes(StandardCharsets.UTF_8)),
             PeerCodecs.registry(),
             dispatcher,
--- a/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettings.java
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettings.java
@@ -13,6 +13,8 @@
  * @param callerEndpoint where callers connect
  * @param operatorEndpoint where the balancer asks for readiness and operators read metrics
  * @param peerEndpoint where other VMs connect; it also names this VM among them
+ * @param peerListenEndpoint where this VM listens for other VMs, the peer endpoint unless an
+ *     address translation lies between
  * @param seeds peer endpoints of some VMs
  * @param sourceEndpoint the configuration source
  * @param stopGrace time from a stop signal to the forced end of the process
@@ -28,6 +30,7 @@
     SocketEndpoint callerEndpoint,
     SocketEndpoint operatorEndpoint,
     SocketEndpoint peerEndpoint,
+    SocketEndpoint peerListenEndpoint,
     List<SocketEndpoint> seeds,
     SocketEndpoint sourceEndpoint,
     Duration stopGrace,
--- a/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
@@ -61,6 +61,8 @@
         EndpointReader.readCombined(main, "callerAddress"),
         EndpointReader.readCombined(main, "operatorAddress"),
         EndpointReader.readCombined(main, "peerAddress"),
+        EndpointReader.readCombined(
+            main, main.has("peerListenAddress") ? "peerListenAddress" : "peerAddress"),
         readSeeds(main),
         EndpointReader.readCombined(main, "sourceAddress"),
         seconds(main.decimal("stopGraceSeconds", 1, LONGEST_SECONDS)),
--- /dev/null
+++ b/kumquatvane-settings/src/test/java/org/kumquatvane/settings/EntrySettingsParserTest.java
@@ -0,0 +1,71 @@
+package org.kumquatvane.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.kumquatvane.core.SocketEndpoint;
+
+class EntrySettingsParserTest {
+  private static final String MINIMAL =
+      """
+      {"vmName": "vm-1", "failureDomain": "a", "callerAddress": "10.1.0.5:8405",
+       "operatorAddress": "10.1.0.5:8406", "peerAddress": "10.1.0.5:8407",
+       "seeds": ["10.1.0.6:8407"], "sourceAddress": "10.9.0.1:8408", "stopGraceSeconds": 6,
+       "fleetSecret": "sixteen-characters-or-more"}
+      """;
+
+  private static SettingsResult<EntrySettings> parse(String text) {
+    return new EntrySettingsParser().parse("entry.json", text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static EntrySettings valid(String text) {
+    SettingsResult.Parsed<?> parsed = assertInstanceOf(SettingsResult.Parsed.class, parse(text));
+    return assertInstanceOf(EntrySettings.class, parsed.settings());
+  }
+
+  /** Guards against a VM that starts with other limits than docs/configuration.md states. */
+  @Test
+  void fillsInTheDefaults() {
+    EntrySettings settings = valid(MINIMAL);
+    assertEquals(List.of(new SocketEndpoint("10.1.0.6", 8407)), settings.seeds());
+    assertEquals(settings.peerEndpoint(), settings.peerListenEndpoint());
+    assertEquals(new RetryBudgetSettings(0.2, 20, Duration.ofSeconds(10)), settings.retryBudget());
+    assertEquals(new LimitSlackSettings(0, 0), settings.limitSlack());
+  }
+
+  /** Guards against a VM behind an address translation that listens on the address of its name. */
+  @Test
+  void listensElsewhereIfToldSo() {
+    String text =
+        MINIMAL.replace("\"seeds\"", "\"peerListenAddress\": \"10.1.0.5:9000\", \"seeds\"");
+    assertEquals(new SocketEndpoint("10.1.0.5", 9000), valid(text).peerListenEndpoint());
+    assertEquals(new SocketEndpoint("10.1.0.5", 8407), valid(text).peerEndpoint());
+  }
+
+  /** Guards against a start with settings that were meant otherwise. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "10.1.0.5:8407     | 10.1.0.5:84070  | peerAddress",
+        "10.1.0.6:8407     | seed            | seeds",
+        "sixteen-characters-or-more | short  | fleetSecret",
+        "\"stopGraceSeconds\": 6 | \"stopGraceSeconds\": 0 | stopGraceSeconds",
+        "\"seeds\"         | \"seed\"        | seeds",
+        "vm-1              | two words       | vmName"
+      })
+  void namesTheFaultyField(String text, String replacement, String field) {
+    SettingsResult.Invalid<?> invalid =
+        assertInstanceOf(SettingsResult.Invalid.class, parse(MINIMAL.replace(text, replacement)));
+    assertTrue(
+        invalid.faults().stream().anyMatch(fault -> fault.toString().contains(field)),
+        invalid.faults()::toString);
+  }
+}
