Accept fractions for the retry budget and the slack of limits

Ruled out: rounding in the template, which cannot compute. Change: both figures are decimals; EntrySettingsParserTest starts with fractions.

--- a/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
@@ -22,7 +22,8 @@
 public final class EntrySettingsParser {
   private static final int DEFAULT_THREADS = 2;
   private static final double DEFAULT_RATIO = 0.2;
-  private static final int DEFAULT_FIXED = 20;
+  private static final double DEFAULT_FIXED = 20;
+  private static final double MOST_REQUESTS = 1_000_000;
   private static final double DEFAULT_WINDOW_SECONDS = 10;
   private static final double LONGEST_SECONDS = 3_600;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -90,7 +91,7 @@
     RetryBudgetSettings settings =
         new RetryBudgetSettings(
             budget.has("ratio") ? budget.decimal("ratio", 0, 1) : DEFAULT_RATIO,
-            (int) budget.integer("fixed", 0, 1_000_000, DEFAULT_FIXED),
+            budget.has("fixed") ? budget.decimal("fixed", 0, MOST_REQUESTS) : DEFAULT_FIXED,
             seconds(
                 budget.has("windowSeconds")
                     ? budget.decimal("windowSeconds", 1, LONGEST_SECONDS)
@@ -103,7 +104,7 @@
     LimitSlackSettings settings =
         new LimitSlackSettings(
             slack.has("overage") ? slack.decimal("overage", 0, 1) : 0,
-            (int) slack.integer("requests", 0, 1_000_000, 0));
+            slack.has("requests") ? slack.decimal("requests", 0, MOST_REQUESTS) : 0);
     slack.finish();
     return settings;
   }
--- a/kumquatvane-settings/src/test/java/org/kumquatvane/settings/EntrySettingsParserTest.java
+++ b/kumquatvane-settings/src/test/java/org/kumquatvane/settings/EntrySettingsParserTest.java
@@ -40,6 +40,20 @@
     assertEquals(new LimitSlackSettings(0, 0), settings.limitSlack());
   }
 
+  /** Guards against a fleet that does not start because its users scaled a bound. */
+  @Test
+  void takesFractionsWhereUsersScaleABound() {
+    EntrySettings settings =
+        valid(
+            MINIMAL.replace(
+                "\"seeds\"",
+                "\"retryBudget\": {\"fixed\": 23.65, \"windowSeconds\": 9.5},"
+                    + " \"limitSlack\": {\"overage\": 0.25, \"requests\": 2.4}, \"seeds\""));
+    assertEquals(
+        new RetryBudgetSettings(0.2, 23.65, Duration.ofMillis(9_500)), settings.retryBudget());
+    assertEquals(new LimitSlackSettings(0.25, 2.4), settings.limitSlack());
+  }
+
   /** Guards against a VM behind an address translation that listens on the address of its name. */
   @Test
   void listensElsewhereIfToldSo() {
