--- a/kumquatvane-settings/src/test/java/org/kumquatvane/settings/EntrySettingsParserTest.java
+++ b/kumquatvane-settings/src/test/java/org/kumquatvane/settings/EntrySettingsParserTest.java
@@ -42,7 +42,7 @@
 
   /** Guards against a fleet that does not start because its users scaled a bound. */
   @Test
-  void takesFractionsWhereUsersScaleABound() {
+  void takesFractionsWhereUsersScaleBounds() {
     EntrySettings settings =
         valid(
             MINIMAL.replace(
