Share an instance among a few VMs, and leave time for a second attempt

On the small twin 25 of about 260 look-ups hung at one instance until their time was over: the first attempt was given up when 93 of 100 answers would have come, which left no time for a second one. Ruled out: groups of VMs with instances of their own, which move many instances when a VM joins or leaves. Change: each instance is shared by a few VMs in rendezvous order, so that a VM shares about eight instances of a service and returns to them; only sharers tell each other of attempts. An attempt of a repeatable request is given up at the moment that leaves the best chance of an answer.

--- a/kumquatvane-retries/src/main/java/org/kumquatvane/retries/LatencyModelDeadline.java
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/LatencyModelDeadline.java
@@ -7,32 +7,39 @@
 import org.kumquatvane.core.ServiceName;
 
 /**
- * Gives up attempts of repeatable requests once they take longer than nearly all answers of the
- * service, as the whole failure domain has seen them.
+ * Gives up attempts of repeatable requests at the moment that leaves the best chance of an answer
+ * in time: late enough for most sound instances, and early enough for another attempt.
  */
 public final class LatencyModelDeadline implements AttemptDeadlinePolicy {
-  private static final Duration SHORTEST = Duration.ofMillis(30);
+  /**
+   * Probability that a chosen instance leaves an attempt without an answer: about a third of the
+   * instances fail at any time, and the choice avoids two thirds of those.
+   */
+  private static final double UNANSWERED = 0.1;
+
+  /** Moments that are compared. */
+  private static final int STEPS = 24;
+
+  /**
+   * Gain in the probability of an answer that justifies a repeat: it takes a slot from others and a
+   * part of the retry budget.
+   */
+  private static final double LEAST_GAIN = 0.01;
 
   private final Clock clock;
   private final LatencyModel model;
 
   /** What is known of the latency of a service. */
+  @FunctionalInterface
   public interface LatencyModel {
     /**
-     * Returns the time within which nearly all answers come.
-     *
-     * @param service the service
-     * @return the time
-     */
-    Duration usualLimit(ServiceName service);
-
-    /**
-     * Returns a typical latency.
+     * Returns the probability that a sound instance answers in time.
      *
      * @param service the service
-     * @return the time
+     * @param latency the time
+     * @return 0 to 1
      */
-    Duration typical(ServiceName service);
+    double answeredWithin(ServiceName service, Duration latency);
   }
 
   /**
@@ -51,13 +58,27 @@
     if (!context.repeatable()) {
       return context.deadline();
     }
-    Duration limit = model.usualLimit(context.service().name());
-    long allowed = Math.max(SHORTEST.toNanos(), limit.toNanos()) << (context.attempt() - 1);
-    long another = model.typical(context.service().name()).toNanos();
-    // Without time for another attempt it is better to wait for this one.
-    return context.deadline().remainingNanos(clock) - allowed > another
-        ? Deadline.after(clock, Duration.ofNanos(allowed))
-        : context.deadline();
+    ServiceName service = context.service().name();
+    long remaining = context.deadline().remainingNanos(clock);
+    double best = (1 - UNANSWERED) * within(service, remaining) + LEAST_GAIN;
+    long chosen = remaining;
+    for (int step = 1; step < STEPS; step++) {
+      long allowed = remaining / STEPS * step;
+      double first = (1 - UNANSWERED) * within(service, allowed);
+      double second = (1 - UNANSWERED) * within(service, remaining - allowed);
+      double chance = first + (1 - first) * second;
+      if (chance > best) {
+        best = chance;
+        chosen = allowed;
+      }
+    }
+    return chosen == remaining
+        ? context.deadline()
+        : Deadline.after(clock, Duration.ofNanos(chosen));
+  }
+
+  private double within(ServiceName service, long nanos) {
+    return model.answeredWithin(service, Duration.ofNanos(Math.max(0, nanos)));
   }
 
   @Override
--- a/kumquatvane-retries/src/test/java/org/kumquatvane/retries/FleetRetryBudgetTest.java
+++ b/kumquatvane-retries/src/test/java/org/kumquatvane/retries/FleetRetryBudgetTest.java
@@ -11,14 +11,6 @@
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.Reason;
 import org.kumquatvane.core.ServiceName;
-import org.kumquatvane.document.EjectionProfile;
-import org.kumquatvane.document.EjectionSettings;
-import org.kumquatvane.document.InstanceCapacity;
-import org.kumquatvane.document.QueuePolicy;
-import org.kumquatvane.document.RetryMode;
-import org.kumquatvane.document.RetrySettings;
-import org.kumquatvane.document.SelectionMode;
-import org.kumquatvane.document.Service;
 import org.kumquatvane.testing.LogicalClock;
 import org.kumquatvane.testing.RecordingCounters;
 
@@ -31,19 +23,9 @@
 
   private final LogicalClock clock = new LogicalClock();
 
-  private static Service service() {
-    return new Service(
-        SERVICE,
-        new InstanceCapacity(1, 1, Duration.ZERO),
-        new QueuePolicy(1, 1),
-        SelectionMode.TWO_CHOICES,
-        new EjectionSettings(EjectionProfile.NONE, 0, Duration.ofSeconds(1), Duration.ofSeconds(1)),
-        new RetrySettings(RetryMode.BUDGETED, 4, 20, Duration.ofMillis(2)));
-  }
-
   private RetryContext failed() {
     return new RetryContext(
-        service(),
+        RetryFixture.service(SERVICE),
         true,
         true,
         1,
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/FleetInstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/FleetInstancePool.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,18 +34,20 @@
 import org.kumquatvane.ejection.Eligibility;
 import org.kumquatvane.ejection.InstanceHealth;
 import org.kumquatvane.ejection.Observation;
+import org.kumquatvane.selection.internal.ActivityMessages;
 import org.kumquatvane.selection.internal.InstanceState;
 import org.kumquatvane.selection.internal.PeerReports;
 import org.kumquatvane.selection.internal.ServiceState;
+import org.kumquatvane.selection.internal.Sharers;
 
 /**
  * Instance pool whose VMs tell each other at once what they send to instances and what comes back.
  *
  * <p>One VM sends an instance a request every few seconds: too few to see a failing spell of a few
- * seconds in time. With the attempts of all VMs of the failure domain, attempts that wait too long
- * included, an instance is suspected after its first few losses, and no instance gets more requests
- * than it has slots. Nothing is ejected for good: a suspected instance is passed over while a
- * better one has a free slot, and repeatable requests find out when it has recovered.
+ * seconds in time. With the attempts of all VMs that share the instance, attempts that wait too
+ * long included, an instance is suspected after its first few losses, and no instance gets more
+ * requests than it has slots. Nothing is ejected for good: a suspected instance is passed over
+ * while a better one has a free slot, and repeatable requests find out when it has recovered.
  */
 public final class FleetInstancePool
     implements InstancePool,
@@ -66,6 +69,8 @@
   /** Failure probability above which operators see an instance as ejected. */
   private static final double SUSPECTED = 0.5;
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private final RankedLock lock = new RankedLock(LockRank.SELECTION);
   private final Clock clock;
   private final Scheduler scheduler;
@@ -77,24 +82,29 @@
   private final Map<ServiceName, ServiceState> services = new HashMap<>();
   private final Map<InstanceId, ServiceName> serviceOf = new HashMap<>();
   private final PeerReports reports;
-  private final List<InstanceActivity.Outcome> outcomes = new ArrayList<>();
+  private final Sharers sharers;
+  private final ActivityMessages messages;
+  private final List<ActivityMessages.Shared<InstanceActivity.Outcome>> outcomes =
+      new ArrayList<>();
   private boolean sendScheduled;
   private long sequence;
 
   /**
    * Creates a pool without instances.
    *
+   * @param self this VM
    * @param clock clock of the deadlines
    * @param scheduler sends the messages
    * @param random seeded source that breaks ties, used under the pool's lock only
    * @param ownDomain failure domain of this VM, or null if it is unknown
-   * @param peers the VMs that get this VM's activity; called outside the lock
+   * @param peers the other VMs of the failure domain in a stable order; called outside the lock
    * @param sender sends messages
    * @param onCapacity called outside the lock when a slot may have become free
    * @param firstSequence number of the first message; the time of day in milliseconds, so that it
    *     lies above the numbers of an earlier process at the same address
    */
   public FleetInstancePool(
+      VmId self,
       Clock clock,
       Scheduler scheduler,
       UniformRandomProvider random,
@@ -112,6 +122,8 @@
     this.onCapacity = onCapacity;
     sequence = firstSequence;
     reports = new PeerReports(clock, REPORT_LIFE);
+    sharers = new Sharers(self);
+    messages = new ActivityMessages(self);
   }
 
   @Override
@@ -191,8 +203,11 @@
           if (state != null) {
             state.observeOwn(observation.kind(), (double) millis);
           }
-          if (outcomes.size() < InstanceActivity.MAXIMUM_ENTRIES) {
-            outcomes.add(new InstanceActivity.Outcome(instance, observation.kind(), millis));
+          if (state != null && outcomes.size() < InstanceActivity.MAXIMUM_ENTRIES) {
+            outcomes.add(
+                new ActivityMessages.Shared<>(
+                    new InstanceActivity.Outcome(instance, observation.kind(), millis),
+                    state(service).sharedBy(state)));
           }
         });
   }
@@ -245,27 +260,14 @@
   }
 
   /**
-   * Returns the time within which nearly all answers of a service come.
-   *
-   * @param service the service
-   * @return the time
-   */
-  public Duration usualLimit(ServiceName service) {
-    return millis(lock.call(() -> state(service).usualLimitMillis()));
-  }
-
-  /**
-   * Returns a typical latency of a service.
+   * Returns the probability that a sound instance answers in time.
    *
    * @param service the service
-   * @return the time
+   * @param latency the time
+   * @return 0 to 1
    */
-  public Duration typicalLatency(ServiceName service) {
-    return millis(lock.call(() -> state(service).typicalMillis()));
-  }
-
-  private static Duration millis(double millis) {
-    return Duration.ofNanos((long) (millis * 1e6));
+  public double answeredWithin(ServiceName service, Duration latency) {
+    return lock.call(() -> state(service).answeredWithin(latency.toNanos() / NANOS_PER_MILLI));
   }
 
   @Override
@@ -309,17 +311,18 @@
   }
 
   private void sendActivity() {
-    List<InstanceActivity> messages = new ArrayList<>();
+    List<VmId> near = peers.get();
+    Map<VmId, InstanceActivity> collected = new LinkedHashMap<>();
     lock.run(
         () -> {
           sendScheduled = false;
-          messages.add(new InstanceActivity(++sequence, running(), outcomes));
+          sharers.setPeers(near);
+          collected.putAll(messages.collect(++sequence, running(), outcomes));
           outcomes.clear();
         });
-    InstanceActivity message = messages.get(0);
-    peers.get().forEach(peer -> sender.send(peer, message));
-    if (!message.running().isEmpty()) {
-      long sent = message.sequence();
+    collected.forEach(sender::send);
+    if (collected.values().stream().anyMatch(message -> !message.running().isEmpty())) {
+      long sent = collected.values().iterator().next().sequence();
       scheduler.schedule(Deadline.after(clock, REPETITION), () -> repeatUnlessNewer(sent));
     }
   }
@@ -330,17 +333,17 @@
     }
   }
 
-  private List<InstanceActivity.Running> running() {
+  private List<ActivityMessages.Shared<InstanceActivity.Running>> running() {
     long now = clock.monotonicNanos();
-    List<InstanceActivity.Running> running = new ArrayList<>();
+    List<ActivityMessages.Shared<InstanceActivity.Running>> running = new ArrayList<>();
     for (ServiceState service : services.values()) {
       for (InstanceState state : service.all()) {
         for (long started : state.ownAttempts()) {
-          if (running.size() < InstanceActivity.MAXIMUM_ENTRIES) {
-            running.add(
-                new InstanceActivity.Running(
-                    state.instance().id(), TimeUnit.NANOSECONDS.toMillis(now - started)));
-          }
+          running.add(
+              new ActivityMessages.Shared<>(
+                  new InstanceActivity.Running(
+                      state.instance().id(), TimeUnit.NANOSECONDS.toMillis(now - started)),
+                  service.sharedBy(state)));
         }
       }
     }
@@ -353,6 +356,7 @@
   }
 
   private ServiceState state(ServiceName service) {
-    return services.computeIfAbsent(service, unused -> new ServiceState(clock, random, ownDomain));
+    return services.computeIfAbsent(
+        service, unused -> new ServiceState(clock, random, ownDomain, sharers));
   }
 }
--- /dev/null
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ActivityMessages.java
@@ -0,0 +1,91 @@
+package org.kumquatvane.selection.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.kumquatvane.core.VmId;
+import org.kumquatvane.selection.InstanceActivity;
+
+/**
+ * Sorts attempts and outcomes by the VMs that share their instances. Guarded by the pool's lock.
+ */
+public final class ActivityMessages {
+  private final VmId self;
+  private Set<VmId> toldOfAttempts = new HashSet<>();
+
+  private static final class Entries {
+    private final List<InstanceActivity.Running> running = new ArrayList<>();
+    private final List<InstanceActivity.Outcome> outcomes = new ArrayList<>();
+  }
+
+  /**
+   * Creates the messages of a VM.
+   *
+   * @param self this VM
+   */
+  public ActivityMessages(VmId self) {
+    this.self = self;
+  }
+
+  /**
+   * Collects the messages of one moment.
+   *
+   * @param sequence number of the messages
+   * @param running all attempts in flight, each with the VMs that share its instance
+   * @param outcomes outcomes since the last messages, likewise
+   * @return a message for each VM that has something to learn
+   */
+  public Map<VmId, InstanceActivity> collect(
+      long sequence,
+      List<Shared<InstanceActivity.Running>> running,
+      List<Shared<InstanceActivity.Outcome>> outcomes) {
+    Map<VmId, Entries> entries = new HashMap<>();
+    // A VM that was told of attempts learns that they have ended from a message without them.
+    toldOfAttempts.forEach(vm -> entries.put(vm, new Entries()));
+    Set<VmId> told = new HashSet<>();
+    for (Shared<InstanceActivity.Running> attempt : running) {
+      for (VmId vm : attempt.vms()) {
+        if (add(entries, vm).running.size() < InstanceActivity.MAXIMUM_ENTRIES) {
+          add(entries, vm).running.add(attempt.entry());
+          told.add(vm);
+        }
+      }
+    }
+    for (Shared<InstanceActivity.Outcome> outcome : outcomes) {
+      for (VmId vm : outcome.vms()) {
+        if (add(entries, vm).outcomes.size() < InstanceActivity.MAXIMUM_ENTRIES) {
+          add(entries, vm).outcomes.add(outcome.entry());
+        }
+      }
+    }
+    entries.remove(self);
+    told.remove(self);
+    toldOfAttempts = told;
+    Map<VmId, InstanceActivity> messages = new LinkedHashMap<>();
+    entries.forEach(
+        (vm, of) -> messages.put(vm, new InstanceActivity(sequence, of.running, of.outcomes)));
+    return messages;
+  }
+
+  private static Entries add(Map<VmId, Entries> entries, VmId vm) {
+    return entries.computeIfAbsent(vm, unused -> new Entries());
+  }
+
+  /**
+   * An entry and the VMs that share its instance.
+   *
+   * @param entry the entry
+   * @param vms the VMs
+   * @param <T> type of the entry
+   */
+  public record Shared<T>(T entry, List<VmId> vms) {
+    /** Copies the list. */
+    public Shared {
+      vms = List.copyOf(vms);
+    }
+  }
+}
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
@@ -43,6 +43,8 @@
   private @Nullable Deadline leavingUntil;
   private @Nullable Deadline fullUntil;
   private long lastAnswerNanos;
+  private List<VmId> sharingOrder = List.of();
+  private int sharingVersion = -1;
 
   InstanceState(Instance instance, ServiceLatency latency, Clock clock) {
     this.instance = instance;
@@ -135,6 +137,15 @@
     peers.remove(peer);
   }
 
+  /** Returns the first VMs in the order in which they share this instance. */
+  List<VmId> sharedBy(Sharers sharers, int count) {
+    if (sharingVersion != sharers.version()) {
+      sharingOrder = sharers.order(instance.id());
+      sharingVersion = sharers.version();
+    }
+    return sharingOrder.subList(0, Math.min(count, sharingOrder.size()));
+  }
+
   /** Returns the attempts in flight of all VMs that share theirs. */
   int load() {
     int load = own.size();
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceLatency.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceLatency.java
@@ -49,9 +49,4 @@
     double normal = 1 / (1 + Math.exp(LOGISTIC * deviations(millis)));
     return TAIL + (1 - TAIL) * normal;
   }
-
-  /** Returns the latency that lies some deviations above the mean, in milliseconds. */
-  double quantileMillis(double deviations) {
-    return Math.exp(mean + deviations * deviation());
-  }
 }
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceState.java
@@ -12,6 +12,7 @@
 import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.FailureDomain;
 import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.VmId;
 import org.kumquatvane.selection.Instance;
 import org.kumquatvane.selection.SlotNeed;
 
@@ -29,6 +30,12 @@
   /** Cost of an instance that has just started and works at half speed. */
   private static final double COLD_COST = 0.15;
 
+  /**
+   * Cost of an instance that other VMs share: this VM does not see their attempts, and is likely to
+   * need a new connection.
+   */
+  private static final double AWAY_COST = 0.15;
+
   /** Ties between equal instances are broken evenly, so that VMs do not pick the same one. */
   private static final double JITTER = 0.04;
 
@@ -46,16 +53,15 @@
 
   private static final double STALE_SECONDS = 0.7;
 
-  /** Deviations above the mean of the logarithm: 93 of 100 answers come sooner. */
-  private static final double USUAL_DEVIATIONS = 1.5;
-
   private final Clock clock;
   private final UniformRandomProvider random;
   private final @Nullable FailureDomain ownDomain;
+  private final Sharers sharers;
   private final ServiceLatency latency = new ServiceLatency();
   private final Map<InstanceId, InstanceState> instances = new HashMap<>();
   private List<InstanceState> ordered = List.of();
   private int slotsOfService = 1;
+  private int nearInstances;
 
   /**
    * Creates a service without instances.
@@ -63,9 +69,14 @@
    * @param clock clock of the deadlines
    * @param random seeded source that breaks ties
    * @param ownDomain failure domain of this VM, or null if it is unknown
+   * @param sharers which VMs share an instance
    */
   public ServiceState(
-      Clock clock, UniformRandomProvider random, @Nullable FailureDomain ownDomain) {
+      Clock clock,
+      UniformRandomProvider random,
+      @Nullable FailureDomain ownDomain,
+      Sharers sharers) {
+    this.sharers = sharers;
     this.clock = clock;
     this.random = random;
     this.ownDomain = ownDomain;
@@ -98,6 +109,7 @@
     }
     instances.keySet().retainAll(present);
     ordered = new ArrayList<>(instances.values());
+    nearInstances = (int) ordered.stream().filter(this::isNear).count();
   }
 
   private static boolean isSameProcess(Instance known, Instance newest) {
@@ -134,21 +146,13 @@
   }
 
   /**
-   * Returns the time within which nearly all answers come.
-   *
-   * @return milliseconds
-   */
-  public double usualLimitMillis() {
-    return latency.quantileMillis(USUAL_DEVIATIONS);
-  }
-
-  /**
-   * Returns a typical latency.
+   * Returns the probability that a sound instance answers in time.
    *
-   * @return milliseconds
+   * @param millis the time in milliseconds
+   * @return 0 to 1
    */
-  public double typicalMillis() {
-    return latency.quantileMillis(0);
+  public double answeredWithin(double millis) {
+    return 1 - latency.survival(millis);
   }
 
   /**
@@ -183,14 +187,30 @@
   private double cost(InstanceState state, double risk, boolean repeatable) {
     double cost = risk * (repeatable ? REPEATABLE_RISK : 1);
     cost += LOAD_COST * state.load() / slots(state);
-    cost += state.instance().failureDomain().equals(ownDomain) ? 0 : REMOTE_COST;
+    boolean isHome = isNear(state) && sharedBy(state).contains(sharers.self());
+    cost += isNear(state) ? 0 : REMOTE_COST;
+    cost += isHome ? 0 : AWAY_COST;
     cost += state.isCold() ? COLD_COST : 0;
-    if (repeatable && state.load() == 0 && state.secondsSinceAnswer() > STALE_SECONDS) {
+    if (isHome && repeatable && state.load() == 0 && state.secondsSinceAnswer() > STALE_SECONDS) {
       cost -= EXPLORATION;
     }
     return cost + JITTER * random.nextDouble();
   }
 
+  private boolean isNear(InstanceState state) {
+    return state.instance().failureDomain().equals(ownDomain);
+  }
+
+  /**
+   * Returns the VMs that share an instance of this service.
+   *
+   * @param state the instance
+   * @return VMs of this failure domain, this one included if it shares the instance
+   */
+  public List<VmId> sharedBy(InstanceState state) {
+    return state.sharedBy(sharers, sharers.perInstance(nearInstances));
+  }
+
   private int slots(InstanceState state) {
     int own = state.instance().slots();
     return own > 0 ? own : slotsOfService;
--- a/kumquatvane-selection/src/test/java/org/kumquatvane/selection/FleetInstancePoolTest.java
+++ b/kumquatvane-selection/src/test/java/org/kumquatvane/selection/FleetInstancePoolTest.java
@@ -13,6 +13,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.kumquatvane.core.Deadline;
@@ -45,6 +46,7 @@
     for (VmId name : names) {
       FleetInstancePool pool =
           new FleetInstancePool(
+              name,
               clock,
               scheduler,
               RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong()),
@@ -228,4 +230,75 @@
     scheduler.advance(Duration.ofSeconds(2));
     assertTrue(reserve(1, true).isPresent());
   }
+
+  /**
+   * Pattern: a steady load at a failure domain that has grown. Telling every VM of every attempt
+   * took most of a small VM's processor and grew with the square of the VMs.
+   */
+  @ParameterizedTest
+  @CsvSource({"7, 19, 7", "28, 75, 3", "56, 150, 3"})
+  void messagesOfAnAttemptDoNotGrowWithTheFleet(int vms, int instances, int receivers) {
+    startGrownDomain(vms, instances);
+    long before = network.messagesSent();
+    for (int i = 0; i < 100; i++) {
+      int vm = i % vms;
+      Reservation slot = reserve(vm, false).orElseThrow();
+      scheduler.advance(WORK);
+      end(vm, slot, Observation.Kind.SUCCESS);
+      scheduler.advance(Duration.ofMillis(50));
+    }
+    // One message at the start of an attempt and one at its end, to the other sharers.
+    long perAttempt = (network.messagesSent() - before) / 100;
+    assertTrue(perAttempt <= 2 * (receivers - 1) + 1, () -> perAttempt + " messages an attempt");
+  }
+
+  /**
+   * Pattern: a steady load at a failure domain that has grown. A VM that uses every instance
+   * returns to one so rarely that its connections have lapsed.
+   */
+  @Test
+  void vmReturnsToFewInstances() {
+    startGrownDomain(28, 75);
+    Set<InstanceId> used = new java.util.HashSet<>();
+    for (int i = 0; i < 200; i++) {
+      Reservation slot = reserve(5, false).orElseThrow();
+      scheduler.advance(WORK);
+      end(5, slot, Observation.Kind.SUCCESS);
+      used.add(slot.instance().id());
+    }
+    assertTrue(used.size() <= 16, used::toString);
+  }
+
+  /** Pattern: most callers come to one VM. It must not refuse work while others' instances rest. */
+  @Test
+  void busyVmUsesInstancesThatOthersShare() {
+    startGrownDomain(28, 75);
+    long granted =
+        IntStream.range(0, 100)
+            .mapToObj(
+                i -> {
+                  scheduler.advance(Duration.ofMillis(1));
+                  return reserve(5, true);
+                })
+            .flatMap(Optional::stream)
+            .count();
+    assertEquals(100, granted);
+  }
+
+  private void startGrownDomain(int vms, int instances) {
+    startFleet(
+        vms,
+        IntStream.range(0, instances)
+            .mapToObj(i -> instance("rota-" + i, "a"))
+            .toArray(Instance[]::new));
+    // The first attempt tells each VM of the others.
+    IntStream.range(0, vms)
+        .forEach(
+            vm -> {
+              Reservation first = reserve(vm, true).orElseThrow();
+              scheduler.advance(WORK);
+              end(vm, first, Observation.Kind.SUCCESS);
+            });
+    scheduler.advance(Duration.ofSeconds(2));
+  }
 }
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryDecisions.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryDecisions.java
@@ -69,6 +69,7 @@
     queue = new FairAdmissionQueue(runtime.clock());
     instances =
         new FleetInstancePool(
+            fleet.membership().self(),
             runtime.clock(),
             runtime.scheduler(),
             Randomness.create(),
@@ -107,19 +108,7 @@
                     fleet.membership()::possibleVms,
                     runtime.clock(),
                     runtime.counters()),
-                new LatencyModelDeadline(
-                    runtime.clock(),
-                    new LatencyModelDeadline.LatencyModel() {
-                      @Override
-                      public Duration usualLimit(ServiceName service) {
-                        return instances.usualLimit(service);
-                      }
-
-                      @Override
-                      public Duration typical(ServiceName service) {
-                        return instances.typicalLatency(service);
-                      }
-                    }),
+                new LatencyModelDeadline(runtime.clock(), instances::answeredWithin),
                 service -> CONNECTIONS_PER_INSTANCE,
                 runtime.counters(),
                 runtime.eventLog(),
