Read the source cheaply at the start, and pause after a change

Tests: ItemFeedTest, a lagging first read at 1 to 20 VMs, and a series of 200 changes at 4 and 40 VMs.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -27,10 +27,11 @@
 /**
  * Keeps this VM's copy of the source's items up to date at few calls to the source.
  *
- * <p>Each VM reads everything once when it starts. After that, the first VMs of each failure domain
- * watch the source and report each change, and each unchanged state, to the others of the domain. A
- * VM that has had no confirmation for a while watches by itself: because the readers are lost, or
- * because it is cut off from them. Items never go back to an older revision.
+ * <p>Each VM reads everything once when it starts, and watches once for what that read lacks. After
+ * that, the first VMs of each failure domain watch the source and report each change, and each
+ * unchanged state, to the others of the domain. A VM that has had no confirmation for a while
+ * watches by itself: because the readers are lost, or because it is cut off from them. Items never
+ * go back to an older revision.
  */
 public final class ItemFeed {
   private static final Duration TICK = Duration.ofMillis(150);
@@ -53,6 +54,7 @@
   private long revision = NOTHING;
   private long confirmedNanos;
   private boolean calling;
+  private boolean caughtUp;
   private boolean closed;
   private boolean sourceLost;
   private Deadline nextCall;
@@ -165,7 +167,8 @@
             });
     if (call == Call.READ) {
       counters.add("source.reads", 1);
-      source.readEverything(this::answered);
+      // The watch that follows brings the changes that the cheap read may lack.
+      source.readEverything(ItemSource.Freshness.MAY_LAG, this::answered);
     } else if (call == Call.WATCH) {
       counters.add("source.watches", 1);
       source.watch(after[0], settings.longestWait(), this::answered);
@@ -183,7 +186,7 @@
       calling = true;
       return Call.READ;
     }
-    if (place < settings.readers() || isStale(place)) {
+    if (place < settings.readers() || !caughtUp || isStale(place)) {
       calling = true;
       return Call.WATCH;
     }
@@ -207,7 +210,7 @@
       eventLog.record(
           EventLog.Level.INFO, "source_history_lost", LogField.of("revision", revision()));
       counters.add("source.reads", 1);
-      source.readEverything(this::answered);
+      source.readEverything(ItemSource.Freshness.NEWEST, this::answered);
       return;
     }
     List<ItemsReport> reports = new ArrayList<>();
@@ -215,6 +218,7 @@
         () -> {
           calling = false;
           long from = revision;
+          caughtUp |= answer instanceof SourceAnswer.Changes;
           List<SourceItem> changed =
               answer instanceof SourceAnswer.Everything everything
                   ? applyEverything(everything.items(), everything.revision())
@@ -223,6 +227,9 @@
                       ((SourceAnswer.Changes) answer).revision());
           confirmed();
           publish(changed);
+          if (!changed.isEmpty() && answer instanceof SourceAnswer.Changes) {
+            nextCall = Deadline.after(clock, settings.pause());
+          }
           if (from != NOTHING) {
             reports.add(new ItemsReport(false, from, revision, changed));
           }
@@ -231,7 +238,7 @@
     for (ItemsReport report : reports) {
       peers.get().forEach(peer -> sender.send(peer, report));
     }
-    // The next watch starts at once: a change between two watches would wait for the next tick.
+    // Unless there were changes the next watch starts at once, since the next tick may be far.
     watchOn();
   }
 
@@ -351,6 +358,7 @@
             () -> {
               if (report.complete()) {
                 List<SourceItem> all = applyEverything(report.items(), report.revision());
+                caughtUp = true;
                 confirmed();
                 publish(all);
                 return false;
@@ -363,6 +371,7 @@
                 return due;
               }
               List<SourceItem> changed = applyChanges(report.items(), report.revision());
+              caughtUp = true;
               confirmed();
               publish(changed);
               return false;
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeedSettings.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeedSettings.java
@@ -12,6 +12,7 @@
  * @param stale time without a confirmed state after which a VM reads for itself
  * @param stagger further time for each place in the order of readers, so that a lost reader is
  *     replaced by a few VMs and not by all at once
+ * @param pause pause after a change, so that a series of changes takes few calls
  * @param retry pause after a failed call
  * @param returning time after the return of the source within which lapsed entries come back
  */
@@ -20,6 +21,7 @@
     Duration longestWait,
     Duration stale,
     Duration stagger,
+    Duration pause,
     Duration retry,
     Duration returning) {
   /**
@@ -32,6 +34,7 @@
           Duration.ofMillis(800),
           Duration.ofMillis(1_100),
           Duration.ofMillis(60),
+          Duration.ofMillis(200),
           Duration.ofMillis(300),
           Duration.ofSeconds(2));
 }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemSource.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemSource.java
@@ -5,12 +5,21 @@
 
 /** The configuration source, which can only be read. Both calls return at once. */
 public interface ItemSource {
+  /** How new the items of a read must be. */
+  enum Freshness {
+    /** All changes that the source has accepted. */
+    NEWEST,
+    /** May lack the changes of the last seconds; far cheaper for the source. */
+    MAY_LAG
+  }
+
   /**
    * Reads all items.
    *
+   * @param freshness how new they must be
    * @param answer receives exactly one answer
    */
-  void readEverything(Consumer<SourceAnswer> answer);
+  void readEverything(Freshness freshness, Consumer<SourceAnswer> answer);
 
   /**
    * Waits for changes.
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
@@ -44,6 +44,8 @@
     private final Map<VmId, Boolean> cut = new HashMap<>();
     private long revision = 1;
     private long historyFrom;
+    private List<SourceItem> lagging = List.of();
+    private long laggingRevision;
 
     void put(String key, String value) {
       items.put(key, new SourceItem(key, Optional.of(bytes(value)), ++revision));
@@ -56,8 +58,11 @@
     ItemSource of(VmId vm) {
       return new ItemSource() {
         @Override
-        public void readEverything(Consumer<SourceAnswer> answer) {
-          later(vm, Duration.ofMillis(4), () -> answer.accept(everything()), answer);
+        public void readEverything(Freshness freshness, Consumer<SourceAnswer> answer) {
+          boolean mayLag = freshness == Freshness.MAY_LAG && laggingRevision > 0;
+          SourceAnswer items =
+              mayLag ? new SourceAnswer.Everything(lagging, laggingRevision) : everything();
+          later(vm, Duration.ofMillis(4), () -> answer.accept(items), answer);
         }
 
         @Override
@@ -86,6 +91,12 @@
           answer);
     }
 
+    /** From now on cheap reads lack later changes. */
+    void lag() {
+      lagging = items.values().stream().filter(item -> item.value().isPresent()).toList();
+      laggingRevision = revision;
+    }
+
     private SourceAnswer everything() {
       return new SourceAnswer.Everything(
           items.values().stream().filter(item -> item.value().isPresent()).toList(), revision);
@@ -260,4 +271,30 @@
     long calls = counters.value("source.watches") - before;
     assertTrue(calls <= 2 * 20 / 0.8 + 4, "calls: " + calls);
   }
+
+  /** A VM starts with a read that lacks the changes of the last seconds. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 5, 20})
+  void changesThatTheFirstReadLacksAreMadeUpFor(int vms) {
+    source.put("servers/i-1", "a");
+    source.lag();
+    source.remove("servers/i-1");
+    source.put("config", "2");
+    start(vms);
+    assertAll(Map.of("config", "1"));
+  }
+
+  /** Pattern: instances are replaced in a row; each change would end a watch of each reader. */
+  @ParameterizedTest
+  @ValueSource(ints = {4, 40})
+  void seriesOfChangesTakesFewCalls(int vms) {
+    start(vms);
+    long before = counters.value("source.watches");
+    for (int i = 0; i < 200; i++) {
+      source.put("servers/i-" + i, "a");
+      scheduler.advance(Duration.ofMillis(50));
+    }
+    long calls = counters.value("source.watches") - before;
+    assertTrue(calls <= 2 * 10 / 0.2 + 4, "calls: " + calls);
+  }
 }
