Log what the choice of an instance was based on

Cause: a failed request's log lines named its instance but not what was known of it, so that on-call engineers could not tell a failure that came without warning from one at an instance that was suspected already. Change: each line of a request has the risk, the age of the evidence and the attempts that the VM knew of when it chose.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -57,7 +57,6 @@
   private volatile boolean callerLeft;
   private volatile Scheduler.@Nullable Scheduled queueDeadline;
   private int attemptsMade;
-  private String lastInstance = "";
   private boolean mayHaveRun;
 
   /**
@@ -238,7 +237,7 @@
     }
     dependencies.counters().add("attempts.started", 1);
     tried.add(reservation.instance().id());
-    lastInstance = reservation.instance().id().value();
+    requestLog.chosen(reservation);
     AttemptStep step = new AttemptStep(this, dependencies, request, reservation);
     current = step;
     step.start(exchange, operation.isRecording());
@@ -256,7 +255,6 @@
     RetryDecision decision = rules.decide(failure, attemptsMade);
     requestLog.attemptFailed(
         attemptsMade,
-        lastInstance,
         failure,
         instanceGone,
         decision instanceof RetryDecision.Retry ? "retry" : "end");
@@ -279,7 +277,7 @@
   /** Makes another attempt after one that was dropped; its slot has been given back. */
   void attemptDropped(AttemptFailure failure, RetryDecision.Retry retry) {
     mayHaveRun |= !failure.isKnownNotRun();
-    requestLog.attemptFailed(attemptsMade, lastInstance, failure, false, "retry");
+    requestLog.attemptFailed(attemptsMade, failure, false, "retry");
     dependencies.counters().count(retry.reason());
     dependencies.scheduler().schedule(retry.notBefore(), this::retry);
     dispatcher.dispatch(request.service().name());
@@ -316,7 +314,6 @@
       requestLog.ended(
           "request_answered",
           attemptsMade,
-          lastInstance,
           LogField.of("status", status),
           LogField.of("delivery", delivery));
     }
@@ -346,8 +343,7 @@
     dependencies.counters().add("requests.abandoned", 1);
     operation.finish(mayHaveRun ? new OperationResult.Unknown() : new OperationResult.NotRun());
     if (end()) {
-      requestLog.ended(
-          "request_abandoned", attemptsMade, lastInstance, LogField.of("may_have_run", mayHaveRun));
+      requestLog.ended("request_abandoned", attemptsMade, LogField.of("may_have_run", mayHaveRun));
     }
   }
 
@@ -375,7 +371,6 @@
       requestLog.ended(
           "request_refused",
           attemptsMade,
-          lastInstance,
           LogField.of("reason", refusal.reason().code()),
           LogField.of("execution", refusal.execution().token()),
           LogField.of("detail", refusal.detail()));
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestLog.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestLog.java
@@ -4,42 +4,51 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LogField;
 import org.kumquatvane.engine.AuthorizedRequest;
 import org.kumquatvane.engine.EngineDependencies;
+import org.kumquatvane.selection.Reservation;
 
 /** Log lines and latencies of one request. */
 final class RequestLog {
+  /** Risks are logged in whole percent. */
+  private static final double PERCENT = 100;
+
   private final EngineDependencies dependencies;
   private final AuthorizedRequest request;
+  private volatile @Nullable Reservation lastChoice;
 
   RequestLog(EngineDependencies dependencies, AuthorizedRequest request) {
     this.dependencies = dependencies;
     this.request = request;
   }
 
+  /** Takes note of the instance that the next attempt uses. */
+  void chosen(Reservation reservation) {
+    lastChoice = reservation;
+  }
+
   /** Logs how the request ended. */
-  void ended(String event, int attempts, String lastInstance, LogField... outcome) {
+  void ended(String event, int attempts, LogField... outcome) {
     long total = dependencies.clock().monotonicNanos() - request.head().arrivalNanos();
     dependencies.counters().duration("latency." + event, total);
-    record(event, attempts, lastInstance, outcome);
+    record(event, attempts, outcome);
   }
 
   /** Logs an attempt that did not end with an answer that was passed on. */
-  void attemptFailed(
-      int attempts, String instance, AttemptFailure failure, boolean instanceGone, String next) {
+  void attemptFailed(int attempts, AttemptFailure failure, boolean instanceGone, String next) {
     record(
         "attempt_failed",
         attempts,
-        instance,
         LogField.of("failure", failure.name().toLowerCase(Locale.ROOT)),
         LogField.of("instance_gone", instanceGone),
         LogField.of("next", next));
   }
 
-  private void record(String event, int attempts, String instance, LogField... outcome) {
+  private void record(String event, int attempts, LogField... outcome) {
     long now = dependencies.clock().monotonicNanos();
     List<LogField> fields = new ArrayList<>();
     fields.add(LogField.of("request", request.head().id()));
@@ -48,13 +57,25 @@
     fields.add(LogField.of("service", request.service().name()));
     fields.add(LogField.of("priority", request.priority()));
     fields.add(LogField.of("attempts", attempts));
-    fields.add(LogField.of("instance", instance));
+    addChoice(fields);
     fields.add(LogField.of("total_ms", millis(now - request.head().arrivalNanos())));
     fields.add(LogField.of("left_ms", millis(request.deadline().nanos() - now)));
     fields.addAll(List.of(outcome));
     dependencies.eventLog().record(EventLog.Level.INFO, event, fields.toArray(LogField[]::new));
   }
 
+  /** The instance of the last attempt, and what its choice was based on. */
+  private void addChoice(List<LogField> fields) {
+    Reservation chosen = lastChoice;
+    fields.add(LogField.of("instance", chosen == null ? "" : chosen.instance().id()));
+    if (chosen != null) {
+      Reservation.Basis basis = chosen.basis();
+      fields.add(LogField.of("risk", Math.round(basis.failureProbability() * PERCENT)));
+      fields.add(LogField.of("evidence_age_ms", basis.evidenceAgeMillis()));
+      fields.add(LogField.of("instance_attempts", basis.attempts()));
+    }
+  }
+
   private static long millis(long nanos) {
     return TimeUnit.NANOSECONDS.toMillis(nanos);
   }
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/FleetInstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/FleetInstancePool.java
@@ -162,7 +162,10 @@
             () -> {
               InstanceState chosen = state(service).choose(need);
               return Optional.ofNullable(chosen)
-                  .map(state -> new Reservation(state.instance(), false, state.start()));
+                  .map(
+                      state ->
+                          new Reservation(
+                              state.instance(), false, state.start(), state.basisOfLastStart()));
             });
     if (reserved.isPresent()) {
       scheduleMessage();
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
@@ -273,7 +273,7 @@
           "instance=" + entry.instance.id());
       entry.slotsInUse++;
       inUse++;
-      return new Reservation(entry.instance, trial, clock.monotonicNanos());
+      return new Reservation(entry.instance, trial, clock.monotonicNanos(), Reservation.Basis.NONE);
     }
 
     private void addStatus(List<InstanceStatus> statuses) {
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
@@ -11,6 +11,7 @@
 import org.kumquatvane.core.VmId;
 import org.kumquatvane.ejection.Observation;
 import org.kumquatvane.selection.Instance;
+import org.kumquatvane.selection.Reservation;
 
 /** What this VM knows of one instance. Guarded by the pool's lock. */
 public final class InstanceState {
@@ -42,6 +43,7 @@
   private Instance instance;
   private @Nullable Deadline leavingUntil;
   private @Nullable Deadline fullUntil;
+  private Reservation.Basis basis = Reservation.Basis.NONE;
   private long lastAnswerNanos;
   private List<VmId> sharingOrder = List.of();
   private int sharingVersion = -1;
@@ -97,11 +99,23 @@
    * @return monotonic time of its start, which identifies it
    */
   public long start() {
+    basis =
+        new Reservation.Basis(
+            failureProbability(), Math.round(secondsSinceAnswer() * 1_000), load() + 1);
     long started = clock.monotonicNanos();
     own.add(started);
     return started;
   }
 
+  /**
+   * Returns what was known when the newest attempt of this VM was started.
+   *
+   * @return the basis of its choice
+   */
+  public Reservation.Basis basisOfLastStart() {
+    return basis;
+  }
+
   /**
    * Removes an attempt of this VM.
    *
