Add a fault soak of the real processes; keep reload signals that come during a start

Cause: the promises were tested one at a time; nothing played overlapping faults against real processes. Found: on seed 1 a SIGHUP ended a process that was still starting (exit code 129), since the handler was installed after the start. Ruled out: leaving SIGHUP ignored for the start by the launcher, since the platform starts the runtime without it.

--- a/kumquatvane-cli/src/main/java/org/kumquatvane/cli/Main.java
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/Main.java
@@ -7,6 +7,7 @@
 import org.kumquatvane.cli.drain.DrainCommand;
 import org.kumquatvane.cli.key.KeyCommand;
 import org.kumquatvane.cli.serve.EntryCommand;
+import org.kumquatvane.cli.serve.ReloadRequests;
 import org.kumquatvane.cli.serve.ServeCommand;
 import org.kumquatvane.cli.serve.SignalStopRequests;
 import org.kumquatvane.cli.serve.Signals;
@@ -24,8 +25,14 @@
    * @param arguments arguments of the process
    */
   public static void main(String[] arguments) {
+    ReloadRequests reloads = new ReloadRequests();
+    if (arguments.length > 0 && arguments[0].equals(EntryCommand.NAME)) {
+      // First of all, since the signal ends a process that has no handler for it yet.
+      Signals.handle("HUP", reloads::request);
+    }
     ExitCode code =
-        new CommandLine(commands()).run(List.of(arguments), new Console(System.out, System.err));
+        new CommandLine(commands(reloads))
+            .run(List.of(arguments), new Console(System.out, System.err));
     System.out.flush();
     System.exit(code.code());
   }
@@ -33,14 +40,13 @@
   /**
    * Returns new instances of all commands, in the order of the help text.
    *
+   * @param reloads requests to read the settings of a running VM again
    * @return the commands
    */
-  static List<Command> commands() {
+  static List<Command> commands(ReloadRequests reloads) {
     return List.of(
         new ServeCommand(() -> new SignalStopRequests(new SystemClock())),
-        new EntryCommand(
-            () -> new SignalStopRequests(new SystemClock()),
-            reload -> Signals.handle("HUP", reload)),
+        new EntryCommand(() -> new SignalStopRequests(new SystemClock()), reloads),
         new CheckCommand(),
         new DigestCommand(),
         new TrialCommand(),
--- a/kumquatvane-cli/src/main/java/org/kumquatvane/cli/serve/EntryCommand.java
+++ b/kumquatvane-cli/src/main/java/org/kumquatvane/cli/serve/EntryCommand.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.kumquatvane.cli.Command;
 import org.kumquatvane.cli.Console;
@@ -23,8 +22,11 @@
  */
 @Parameters(commandDescription = "Run an entry VM on the users' platform")
 public final class EntryCommand implements Command {
+  /** Name of the command. */
+  public static final String NAME = "entry";
+
   private final Supplier<StopRequests> stopRequests;
-  private final Consumer<Runnable> onReloadSignal;
+  private final ReloadRequests reloads;
 
   @Parameter(
       names = "--settings",
@@ -44,16 +46,16 @@
    * Creates the command.
    *
    * @param stopRequests tells when the process is to stop; asked for when the command runs
-   * @param onReloadSignal installs what is to be done when the settings have changed
+   * @param reloads requests to read the settings again
    */
-  public EntryCommand(Supplier<StopRequests> stopRequests, Consumer<Runnable> onReloadSignal) {
+  public EntryCommand(Supplier<StopRequests> stopRequests, ReloadRequests reloads) {
     this.stopRequests = stopRequests;
-    this.onReloadSignal = onReloadSignal;
+    this.reloads = reloads;
   }
 
   @Override
   public String name() {
-    return "entry";
+    return NAME;
   }
 
   @Override
@@ -86,7 +88,7 @@
     return process.run(
         EntryServer.start(settings, eventLog, stops::request),
         server -> {
-          onReloadSignal.accept(() -> reload(server, process, eventLog));
+          reloads.onRequest(() -> reload(server, process, eventLog));
           awaitStop(stops);
           return server.stop();
         });
--- a/kumquatvane-cli/src/test/java/org/kumquatvane/cli/CommandLineTest.java
+++ b/kumquatvane-cli/src/test/java/org/kumquatvane/cli/CommandLineTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.kumquatvane.cli.serve.ReloadRequests;
 import org.kumquatvane.core.KeyDigest;
 import org.kumquatvane.documents.DocumentParser;
 
@@ -83,7 +84,7 @@
     for (String argument : line.isBlank() ? new String[0] : line.split(" ")) {
       arguments.add(argument.replace("@", directory + "/"));
     }
-    return new CommandLine(Main.commands()).run(arguments, console());
+    return new CommandLine(Main.commands(new ReloadRequests())).run(arguments, console());
   }
 
   private Console console() {
--- /dev/null
+++ b/kumquatvane-cli/src/test/java/org/kumquatvane/cli/serve/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the commands that run a VM. */
+@NullMarked
+package org.kumquatvane.cli.serve;
+
+import org.jspecify.annotations.NullMarked;
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/InstanceStandIn.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/InstanceStandIn.java
@@ -12,15 +12,19 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 
 /** An instance of a service as the platform's protocol describes it, with faults to choose. */
-final class InstanceStandIn implements AutoCloseable {
-  private static final byte[] BODY = "done".getBytes(StandardCharsets.UTF_8);
+public final class InstanceStandIn implements AutoCloseable {
+  /** Bytes that an answer which is cut short lacks. */
+  private static final int MISSING_BYTES = 10;
+
   private static final int LONGEST_MILLIS = 60_000;
 
   private final String id;
   private final String service;
+  private final UnaryOperator<String> body;
   private final HttpServer server;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<Received> received = new CopyOnWriteArrayList<>();
@@ -28,7 +32,7 @@
   private volatile long workMillis;
 
   /** How an instance answers. */
-  enum Behaviour {
+  public enum Behaviour {
     /** It runs the request and answers. */
     WELL,
     /** It takes the request and never answers. */
@@ -44,11 +48,16 @@
     /** It answers another request. */
     CROSSED,
     /** Another instance has its address. */
-    MISDIRECTED
+    MISDIRECTED,
+    /** It runs the request and ends the connection before its answer is complete. */
+    CUTS_ANSWER,
+    /** It runs the request and ends the connection without an answer. */
+    LOSES_ANSWER
   }
 
-  /** A request that the instance began to run. */
-  record Received(
+  /** A request that the instance began to run at a time of {@link System#nanoTime}. */
+  public record Received(
+      long atNanos,
       String requestId,
       @Nullable String workspace,
       @Nullable String authorization,
@@ -57,7 +66,13 @@
       String target,
       String body) {}
 
-  InstanceStandIn(String id, String service) {
+  public InstanceStandIn(String id, String service) {
+    this(id, service, requestId -> "done");
+  }
+
+  /** Creates an instance whose answers have a body that follows from the request's id. */
+  public InstanceStandIn(String id, String service, UnaryOperator<String> body) {
+    this.body = body;
     this.id = id;
     this.service = service;
     try {
@@ -70,32 +85,41 @@
     server.start();
   }
 
-  String key() {
+  public String key() {
     return "servers/" + id;
   }
 
   String entry(String state) {
+    return entry(state, port());
+  }
+
+  public int port() {
+    return server.getAddress().getPort();
+  }
+
+  /** Returns the entry in the store for an instance that is reached through a port. */
+  public String entry(String state, int port) {
     return """
         {"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"v1","concurrency":3,
          "state":"%s","warmupLeftS":0,"sequence":1,"born":1}
         """
-        .formatted(service, server.getAddress().getPort(), state);
+        .formatted(service, port, state);
   }
 
-  void set(Behaviour newBehaviour) {
+  public void set(Behaviour newBehaviour) {
     behaviour = newBehaviour;
   }
 
-  void setWorkMillis(long millis) {
+  public void setWorkMillis(long millis) {
     workMillis = millis;
   }
 
-  List<Received> ran() {
+  public List<Received> ran() {
     return received;
   }
 
   private void handle(HttpExchange exchange) throws IOException {
-    String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    String sent = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
     Headers headers = exchange.getRequestHeaders();
     Headers answer = exchange.getResponseHeaders();
     answer.set("X-Request-Id", String.valueOf(headers.getFirst("X-Request-Id")));
@@ -112,14 +136,19 @@
     }
     received.add(
         new Received(
+            System.nanoTime(),
             String.valueOf(headers.getFirst("X-Request-Id")),
             headers.getFirst("X-Tenant-Id"),
             headers.getFirst("Authorization"),
             headers.getFirst("X-Expect-Instance"),
             Long.parseLong(String.valueOf(headers.getFirst("X-Deadline-Ms"))),
             exchange.getRequestURI().toString(),
-            body));
+            sent));
     pause(now == Behaviour.HANGS ? LONGEST_MILLIS : workMillis);
+    if (now == Behaviour.LOSES_ANSWER) {
+      exchange.close();
+      return;
+    }
     if (now != Behaviour.UNSIGNED) {
       answer.set("X-Response-Signature", "signed-by-" + id);
     }
@@ -143,9 +172,12 @@
     }
   }
 
-  private static void finish(HttpExchange exchange, int status) throws IOException {
-    exchange.sendResponseHeaders(status, BODY.length);
-    exchange.getResponseBody().write(BODY);
+  private void finish(HttpExchange exchange, int status) throws IOException {
+    String requestId = String.valueOf(exchange.getRequestHeaders().getFirst("X-Request-Id"));
+    byte[] bytes = body.apply(requestId).getBytes(StandardCharsets.UTF_8);
+    int missing = behaviour == Behaviour.CUTS_ANSWER ? MISSING_BYTES : 0;
+    exchange.sendResponseHeaders(status, bytes.length + missing);
+    exchange.getResponseBody().write(bytes);
     exchange.close();
   }
 
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/StoreStandIn.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/StoreStandIn.java
@@ -18,7 +18,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** The platform's metadata store as its protocol describes it: items, pages and watches. */
-final class StoreStandIn implements AutoCloseable {
+public final class StoreStandIn implements AutoCloseable {
   private final HttpServer server;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final Map<String, Item> items = new TreeMap<>();
@@ -27,7 +27,7 @@
 
   private record Item(@Nullable String value, long revision) {}
 
-  StoreStandIn() {
+  public StoreStandIn() {
     try {
       server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     } catch (IOException e) {
@@ -39,21 +39,21 @@
     server.start();
   }
 
-  int port() {
+  public int port() {
     return server.getAddress().getPort();
   }
 
-  synchronized void put(String key, String value) {
+  public synchronized void put(String key, String value) {
     items.put(key, new Item(value, ++revision));
     notifyAll();
   }
 
-  synchronized void remove(String key) {
+  public synchronized void remove(String key) {
     items.put(key, new Item(null, ++revision));
     notifyAll();
   }
 
-  synchronized void setAvailable(boolean isAvailable) {
+  public synchronized void setAvailable(boolean isAvailable) {
     available = isAvailable;
     notifyAll();
   }
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Answer.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Answer.java
@@ -13,8 +13,8 @@
  * @param isWhole whether the body reached its declared end
  */
 @SuppressWarnings("ArrayRecordComponent") // Answers are not compared.
-record Answer(int status, List<String> headers, byte[] body, boolean isWhole) {
-  String header(String name) {
+public record Answer(int status, List<String> headers, byte[] body, boolean isWhole) {
+  public String header(String name) {
     String prefix = name.toLowerCase(Locale.ROOT) + ":";
     return headers.stream()
         .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(prefix))
@@ -31,7 +31,7 @@
     return header("Kumquatvane-Reason");
   }
 
-  String text() {
+  public String text() {
     return new String(body, StandardCharsets.UTF_8);
   }
 
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
@@ -12,16 +12,20 @@
 import java.util.List;
 
 /** One keep-alive connection of a caller, on which malformed requests can be sent too. */
-final class CallerConnection implements AutoCloseable {
+public final class CallerConnection implements AutoCloseable {
   private static final int READ_LIMIT_MILLIS = 90_000;
 
   private final Socket socket;
   private final InputStream input;
 
   CallerConnection(int port) throws IOException {
+    this(port, READ_LIMIT_MILLIS);
+  }
+
+  public CallerConnection(int port, int readLimitMillis) throws IOException {
     socket = new Socket(InetAddress.getLoopbackAddress(), port);
     socket.setTcpNoDelay(true);
-    socket.setSoTimeout(READ_LIMIT_MILLIS);
+    socket.setSoTimeout(readLimitMillis);
     input = socket.getInputStream();
   }
 
@@ -58,7 +62,7 @@
     write(head.append("\r\n").toString());
   }
 
-  void write(String text) throws IOException {
+  public void write(String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     socket.getOutputStream().flush();
   }
@@ -74,7 +78,7 @@
    *
    * @throws EOFException if the connection ends before the head is complete
    */
-  Answer read() throws IOException {
+  public Answer read() throws IOException {
     String statusLine = readLine();
     List<String> headers = new ArrayList<>();
     for (String line = readLine(); !line.isEmpty(); line = readLine()) {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/FaultProxy.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/FaultProxy.java
@@ -18,7 +18,7 @@
  * <p>A direction that drops holds its bytes and delivers them late once it is open again, as TCP
  * does after a partition. A silent connection delivers nothing any more, not even its end.
  */
-final class FaultProxy implements AutoCloseable {
+public final class FaultProxy implements AutoCloseable {
   private final ServerSocket listener;
   private final int targetPort;
   private final List<Link> links = new CopyOnWriteArrayList<>();
@@ -28,17 +28,17 @@
   private boolean dropsToCaller;
   private long delayMillis;
 
-  FaultProxy(int targetPort) throws IOException {
+  public FaultProxy(int targetPort) throws IOException {
     this.targetPort = targetPort;
     listener = new ServerSocket(Ports.free(), 1_000, InetAddress.getLoopbackAddress());
     start("accept", this::accept);
   }
 
-  int port() {
+  public int port() {
     return listener.getLocalPort();
   }
 
-  void drop(boolean toTarget, boolean toCaller) {
+  public void drop(boolean toTarget, boolean toCaller) {
     change(
         () -> {
           dropsToTarget = toTarget;
@@ -46,17 +46,17 @@
         });
   }
 
-  void delay(long millis) {
+  public void delay(long millis) {
     change(() -> delayMillis = millis);
   }
 
   /** Makes the open connections silent for good; later ones work. */
-  void silenceOpenConnections() {
+  public void silenceOpenConnections() {
     change(() -> links.forEach(link -> link.isSilent = true));
   }
 
   /** Breaks the open connections in both directions. */
-  void resetOpenConnections() throws IOException {
+  public void resetOpenConnections() throws IOException {
     for (Link link : links) {
       for (Socket socket : List.of(link.caller, link.target)) {
         socket.setSoLinger(true, 0);
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/FaultSoakTest.java
@@ -0,0 +1,70 @@
+package org.kumquatvane.verification.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Guards all promises of the fleet at once, at the sockets of real processes, while faults and
+ * planned changes come in series and overlap. {@code soak.sh} plays other seeds and sizes.
+ */
+class FaultSoakTest {
+  private static final int VMS = Integer.getInteger("soak.vms", 3);
+  private static final int INSTANCES = Integer.getInteger("soak.instances", 5);
+  private static final int SECONDS = Integer.getInteger("soak.seconds", 12);
+
+  /** Seeds such as 1-50 or 3,7,9; the first is the one that CI plays. */
+  private static final String SEEDS = System.getProperty("soak.seeds", "1");
+
+  static LongStream seeds() {
+    return Arrays.stream(SEEDS.split(",", -1))
+        .flatMapToLong(
+            part -> {
+              String[] range = part.split("-", 2);
+              return LongStream.rangeClosed(
+                  Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]));
+            });
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void promisesHoldWhileFaultsOverlap(long seed) throws Exception {
+    SoakPlan plan = SoakPlan.draw(seed, VMS, INSTANCES, SECONDS);
+    Path directory = Path.of("target", "soak", "seed-" + seed);
+    SoakRun.Result result = new SoakRun(plan, directory).play();
+    System.out.println("soak " + result.summary());
+    assertTrue(
+        result.violations().isEmpty(),
+        () ->
+            "%s; logs of the VMs are in %s%n%s"
+                .formatted(result.summary(), directory, String.join("\n", result.violations())));
+  }
+
+  /** A seed that failed is of use only if it draws the same run again. */
+  @Test
+  void aSeedDrawsTheSameRun() {
+    assertEquals(SoakPlan.draw(4, 3, 5, 20), SoakPlan.draw(4, 3, 5, 20));
+    assertNotEquals(SoakPlan.draw(4, 3, 5, 20), SoakPlan.draw(5, 3, 5, 20));
+  }
+
+  /** Every kind of disturbance is drawn within the seeds that are played by hand. */
+  @Test
+  void fiftySeedsDrawEveryKind() {
+    List<Disturbance.Kind> drawn =
+        LongStream.rangeClosed(1, 50)
+            .boxed()
+            .flatMap(seed -> SoakPlan.draw(seed, VMS, INSTANCES, SECONDS).disturbances().stream())
+            .map(Disturbance::kind)
+            .distinct()
+            .toList();
+    assertEquals(Disturbance.Kind.values().length, drawn.size());
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakRun.java
@@ -0,0 +1,134 @@
+package org.kumquatvane.verification.soak;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.kumquatvane.verification.process.Conditions;
+
+/** Plays a plan against real processes and judges what was seen. */
+final class SoakRun {
+  private static final int CALLERS_PER_VM = 3;
+
+  /** Callers of one VM send about ten requests a second each. */
+  private static final int LONGEST_PAUSE_MILLIS = 160;
+
+  /** Time without disturbances at the end; the users give a fleet 15 s to recover. */
+  private static final long CALM_END_MILLIS = 17_000;
+
+  /** A pause of this process that is longer disturbs all that it observes. */
+  private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  private static final long STALL_CHECK_MILLIS = 20;
+
+  private final SoakPlan plan;
+  private final Path directory;
+
+  /**
+   * Outcome of a run.
+   *
+   * @param summary one line of figures
+   * @param violations broken promises
+   */
+  record Result(String summary, List<String> violations) {}
+
+  SoakRun(SoakPlan plan, Path directory) {
+    this.plan = plan;
+    this.directory = directory;
+  }
+
+  Result play() throws IOException, InterruptedException {
+    Queue<Exchanged> exchanged = new ConcurrentLinkedQueue<>();
+    AtomicLong endNanos = new AtomicLong(Long.MAX_VALUE);
+    try (SoakFleet fleet = new SoakFleet(plan, directory)) {
+      fleet.vms().forEach(vm -> awaitReady(vm));
+      long startNanos = System.nanoTime();
+      List<Thread> threads = startCallers(fleet, exchanged, endNanos);
+      threads.add(startStallWatch(fleet.timeline(), endNanos));
+      for (Disturbance disturbance : plan.disturbances()) {
+        sleepUntil(startNanos + TimeUnit.MILLISECONDS.toNanos(disturbance.atMillis()));
+        fleet.disturb(disturbance);
+      }
+      fleet.awaitCalm();
+      Thread.sleep(CALM_END_MILLIS);
+      endNanos.set(System.nanoTime());
+      for (Thread thread : threads) {
+        thread.join();
+      }
+      SoakJudge judge = new SoakJudge(fleet, exchanged, startNanos);
+      List<String> violations = judge.judge();
+      return new Result(
+          "seed=%d vms=%d instances=%d disturbances=%d %s violations=%d"
+              .formatted(
+                  plan.seed(),
+                  plan.vms(),
+                  plan.instances(),
+                  plan.disturbances().size(),
+                  judge.summary(),
+                  violations.size()),
+          violations);
+    }
+  }
+
+  private static void awaitReady(SoakVm vm) {
+    Conditions.await(
+        "VM is ready",
+        () -> {
+          URI ready = URI.create("http://127.0.0.1:" + vm.operatorPort() + "/v1/ready");
+          HttpURLConnection question = (HttpURLConnection) ready.toURL().openConnection();
+          return question.getResponseCode() == 200;
+        });
+  }
+
+  private List<Thread> startCallers(
+      SoakFleet fleet, Queue<Exchanged> exchanged, AtomicLong endNanos) {
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < plan.vms() * CALLERS_PER_VM; i++) {
+      SoakCaller caller =
+          new SoakCaller(
+              "c" + i, plan.seed() + i, fleet.vms(), exchanged, endNanos, LONGEST_PAUSE_MILLIS);
+      Thread thread = new Thread(caller, "soak-caller-" + i);
+      thread.start();
+      threads.add(thread);
+    }
+    return threads;
+  }
+
+  /** Notes when this process itself was stopped for long, since the VMs then were as well. */
+  private static Thread startStallWatch(Timeline timeline, AtomicLong endNanos) {
+    Thread thread =
+        new Thread(
+            () -> {
+              long last = System.nanoTime();
+              while (last < endNanos.get()) {
+                try {
+                  Thread.sleep(STALL_CHECK_MILLIS);
+                } catch (InterruptedException e) {
+                  Thread.currentThread().interrupt();
+                  return;
+                }
+                long now = System.nanoTime();
+                if (now - last > STALL_NANOS) {
+                  timeline.addWhole(Disturbance.Kind.PAUSE, Disturbance.Place.VM, last, now);
+                }
+                last = now;
+              }
+            },
+            "soak-stall-watch");
+    thread.start();
+    return thread;
+  }
+
+  private static void sleepUntil(long nanos) throws InterruptedException {
+    long left = nanos - System.nanoTime();
+    if (left > 0) {
+      TimeUnit.NANOSECONDS.sleep(left);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakVm.java
@@ -0,0 +1,159 @@
+package org.kumquatvane.verification.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.kumquatvane.verification.process.FaultProxy;
+import org.kumquatvane.verification.process.Ports;
+
+/** One process of the binary, with a proxy on the way from callers, to the store and from peers. */
+final class SoakVm implements AutoCloseable {
+  private static final Path BINARY = Path.of("..", "target", "kumquatvane").toAbsolutePath();
+
+  /** Time from SIGTERM to the forced end; the platform gives six seconds. */
+  static final int STOP_GRACE_SECONDS = 6;
+
+  private final int index;
+  private final Path log;
+  private final Path settings;
+  private final int callerPort = Ports.free();
+  private final int operatorPort = Ports.free();
+  private final int peerPort = Ports.free();
+  private final FaultProxy callers;
+  private final FaultProxy peers;
+  private final FaultProxy store;
+  private Process process;
+  private int life;
+  private boolean endIsExpected;
+
+  SoakVm(int index, Path directory, int storePort) throws IOException {
+    this.index = index;
+    log = directory.resolve("vm-" + index + ".log");
+    settings = directory.resolve("vm-" + index + ".json");
+    callers = new FaultProxy(callerPort);
+    peers = new FaultProxy(peerPort);
+    store = new FaultProxy(storePort);
+    process = new ProcessBuilder("true").start();
+  }
+
+  FaultProxy callers() {
+    return callers;
+  }
+
+  FaultProxy peers() {
+    return peers;
+  }
+
+  FaultProxy store() {
+    return store;
+  }
+
+  int operatorPort() {
+    return operatorPort;
+  }
+
+  /** Number of the current process, counted from 1. */
+  synchronized int life() {
+    return life;
+  }
+
+  /** Starts a process unless one is running. */
+  synchronized void start(int seedPort) throws IOException {
+    if (life > 0 && process.isAlive()) {
+      return;
+    }
+    Files.writeString(settings, settingsText(seedPort));
+    ProcessBuilder builder =
+        new ProcessBuilder(BINARY.toString(), "entry", "--settings", settings.toString());
+    builder.environment().put("JAVA_TOOL_OPTIONS", "-Xmx96m -Xss256k -XX:+UseSerialGC");
+    process =
+        builder
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+    life++;
+    endIsExpected = false;
+  }
+
+  private String settingsText(int seedPort) {
+    return """
+        {
+          "vmName": "vm-%d", "failureDomain": "%s",
+          "callerAddress": "127.0.0.1:%d", "operatorAddress": "127.0.0.1:%d",
+          "peerAddress": "127.0.0.1:%d", "peerListenAddress": "127.0.0.1:%d",
+          "seeds": ["127.0.0.1:%d"], "sourceAddress": "127.0.0.1:%d",
+          "stopGraceSeconds": %d, "retryBudget": {"ratio": %s, "fixed": %d, "windowSeconds": %d},
+          "limitSlack": {"overage": %s, "requests": %d},
+          "fleetSecret": "soak-secret-on-loopback", "assertions": true
+        }
+        """
+        .formatted(
+            index,
+            index % 2 == 0 ? "a" : "b",
+            callerPort,
+            operatorPort,
+            peers.port(),
+            peerPort,
+            seedPort,
+            store.port(),
+            STOP_GRACE_SECONDS,
+            SoakJudge.RETRY_RATIO,
+            SoakJudge.RETRY_FIXED,
+            SoakJudge.RETRY_WINDOW_SECONDS,
+            SoakJudge.QUOTA_OVERAGE,
+            SoakJudge.QUOTA_SLACK);
+  }
+
+  synchronized void kill() throws InterruptedException {
+    endIsExpected = true;
+    process.destroyForcibly().waitFor();
+  }
+
+  /** Sends a signal by name; the process may have ended before it arrives. */
+  synchronized void signal(String name) {
+    try {
+      if (name.equals("TERM")) {
+        endIsExpected = true;
+      }
+      new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Waits for the planned end of the process and ends it by force after the grace. */
+  void awaitStop() throws InterruptedException {
+    Process stopping;
+    synchronized (this) {
+      stopping = process;
+    }
+    if (!stopping.waitFor(STOP_GRACE_SECONDS, TimeUnit.SECONDS)) {
+      stopping.destroyForcibly().waitFor();
+    }
+  }
+
+  /** Tells whether the process has ended although nothing was done to it. */
+  synchronized boolean hasEndedByItself() {
+    return life > 0 && !process.isAlive() && !endIsExpected;
+  }
+
+  String describeEnd() {
+    return "vm " + index + " life " + life() + " exit code " + process.exitValue();
+  }
+
+  Path log() {
+    return log;
+  }
+
+  @Override
+  public void close() throws IOException {
+    process.destroyForcibly();
+    callers.close();
+    peers.close();
+    store.close();
+  }
+}
