Weigh an attempt that was given up by its length, and give sound instances more time

Change: the evidence of an attempt without an answer follows from how long sound instances take; the moment at which an attempt is given up depends on the risk of its instance; only instances with a risk below 45 are tried out.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptRules.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptRules.java
@@ -10,6 +10,7 @@
 import org.kumquatvane.retries.AttemptContext;
 import org.kumquatvane.retries.RetryContext;
 import org.kumquatvane.retries.RetryDecision;
+import org.kumquatvane.selection.Reservation;
 
 /** Decides how often and how long one request is tried. */
 final class AttemptRules {
@@ -75,7 +76,7 @@
   }
 
   /** Returns when another instance is to be tried although the current one may still answer. */
-  Deadline attemptDeadline(int attemptsMade) {
+  Deadline attemptDeadline(int attemptsMade, Reservation reservation) {
     return dependencies
         .attemptDeadlines()
         .attemptDeadline(
@@ -84,6 +85,7 @@
                 request.route().id(),
                 isRepeatable(),
                 attemptsMade,
+                reservation.basis().failureProbability(),
                 request.deadline()));
   }
 }
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptStep.java
@@ -52,7 +52,7 @@
 
   void start(Exchange exchange, boolean captureAnswer) {
     recorded = captureAnswer;
-    Deadline early = flow.attemptDeadline();
+    Deadline early = flow.attemptDeadline(reservation);
     deadlineTask =
         early.compareTo(request.deadline()) < 0
             ? dependencies.scheduler().schedule(early, this::earlyDeadlinePassed)
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -284,8 +284,8 @@
   }
 
   /** Returns when another instance is to be tried although the current one may still answer. */
-  Deadline attemptDeadline() {
-    return rules.attemptDeadline(attemptsMade);
+  Deadline attemptDeadline(Reservation reservation) {
+    return rules.attemptDeadline(attemptsMade, reservation);
   }
 
   /** Takes note of an instance that answered and so was not ended by the request. */
--- a/kumquatvane-retries/src/main/java/org/kumquatvane/retries/AttemptContext.java
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/AttemptContext.java
@@ -11,7 +11,13 @@
  * @param route the route
  * @param repeatable whether the request is idempotent and its whole body at hand
  * @param attempt number of this attempt, 1 for the first
+ * @param failureProbability probability that the instance gives no proper answer
  * @param deadline when the caller stops waiting
  */
 public record AttemptContext(
-    Service service, RouteId route, boolean repeatable, int attempt, Deadline deadline) {}
+    Service service,
+    RouteId route,
+    boolean repeatable,
+    int attempt,
+    double failureProbability,
+    Deadline deadline) {}
--- a/kumquatvane-retries/src/main/java/org/kumquatvane/retries/LatencyModelDeadline.java
+++ b/kumquatvane-retries/src/main/java/org/kumquatvane/retries/LatencyModelDeadline.java
@@ -12,10 +12,10 @@
  */
 public final class LatencyModelDeadline implements AttemptDeadlinePolicy {
   /**
-   * Probability that a chosen instance leaves an attempt without an answer: about a third of the
-   * instances fail at any time, and the choice avoids two thirds of those.
+   * Probability that the instance of a further attempt leaves it without an answer: about a third
+   * of the instances fail at any time, and the choice avoids two thirds of those.
    */
-  private static final double UNANSWERED = 0.1;
+  private static final double NEXT_UNANSWERED = 0.1;
 
   /** Moments that are compared. */
   private static final int STEPS = 24;
@@ -60,12 +60,13 @@
     }
     ServiceName service = context.service().name();
     long remaining = context.deadline().remainingNanos(clock);
-    double best = (1 - UNANSWERED) * within(service, remaining) + LEAST_GAIN;
+    double answering = 1 - context.failureProbability();
+    double best = answering * within(service, remaining) + LEAST_GAIN;
     long chosen = remaining;
     for (int step = 1; step < STEPS; step++) {
       long allowed = remaining / STEPS * step;
-      double first = (1 - UNANSWERED) * within(service, allowed);
-      double second = (1 - UNANSWERED) * within(service, remaining - allowed);
+      double first = answering * within(service, allowed);
+      double second = (1 - NEXT_UNANSWERED) * within(service, remaining - allowed);
       double chance = first + (1 - first) * second;
       if (chance > best) {
         best = chance;
--- a/kumquatvane-retries/src/test/java/org/kumquatvane/retries/LatencyModelDeadlineTest.java
+++ b/kumquatvane-retries/src/test/java/org/kumquatvane/retries/LatencyModelDeadlineTest.java
@@ -21,6 +21,11 @@
   }
 
   private Duration attempt(double medianMillis, long leftMillis, boolean repeatable) {
+    return attempt(medianMillis, leftMillis, repeatable, 0.2);
+  }
+
+  private Duration attempt(
+      double medianMillis, long leftMillis, boolean repeatable, double failureProbability) {
     LatencyModelDeadline policy =
         new LatencyModelDeadline(
             clock, (service, latency) -> answeredWithin(medianMillis, latency));
@@ -32,6 +37,7 @@
                 new RouteId("look-ups"),
                 repeatable,
                 1,
+                failureProbability,
                 deadline));
     return Duration.ofNanos(chosen.remainingNanos(clock));
   }
@@ -62,4 +68,17 @@
   void requestThatMustNotRunTwiceIsNeverGivenUp(double medianMillis, long leftMillis) {
     assertEquals(Duration.ofMillis(leftMillis), attempt(medianMillis, leftMillis, false));
   }
+
+  /**
+   * Pattern: most instances are sound. A tenth of the attempts at instances that were known to be
+   * sound were given up, which spent the retry budget and made these instances suspect.
+   */
+  @ParameterizedTest
+  @CsvSource({"120, 1500", "220, 1200", "300, 1500"})
+  void soundInstanceGetsMoreTimeThanSuspectedOne(double medianMillis, long leftMillis) {
+    Duration sound = attempt(medianMillis, leftMillis, true, 0.02);
+    Duration suspected = attempt(medianMillis, leftMillis, true, 0.6);
+    assertTrue(sound.compareTo(suspected) > 0, () -> sound + " and " + suspected);
+    assertTrue(answeredWithin(medianMillis, sound) >= 0.85, () -> "sound instance gets " + sound);
+  }
 }
--- a/kumquatvane-retries/src/test/java/org/kumquatvane/retries/RetryPolicyTest.java
+++ b/kumquatvane-retries/src/test/java/org/kumquatvane/retries/RetryPolicyTest.java
@@ -98,6 +98,7 @@
         ROUTE,
         repeatable,
         number,
+        0,
         Deadline.after(clock, Duration.ofMillis(millis)));
   }
 
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/Evidence.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/Evidence.java
@@ -24,8 +24,6 @@
   /** Sound instances lose no connections and send no broken answers, but paths do. */
   private static final double BROKEN = 30;
 
-  private static final double NO_ANSWER = 15;
-
   /** A full instance sheds by right; one that sheds although it has free slots does not. */
   private static final double SHED = 2;
 
@@ -35,12 +33,19 @@
 
   private Evidence() {}
 
-  /** Returns the ratio of an attempt that ended. */
-  static double ofOutcome(Observation.Kind kind, double deviations) {
+  /**
+   * Returns the ratio of an attempt that ended.
+   *
+   * @param kind how it ended
+   * @param deviations its latency in deviations above the mean
+   * @param survival share of the answers of sound instances that take longer
+   */
+  static double ofOutcome(Observation.Kind kind, double deviations, double survival) {
     return switch (kind) {
       case SUCCESS -> ofAnswer(deviations);
       case SERVER_ERROR -> ERROR;
-      case TIMED_OUT -> NO_ANSWER;
+      // An attempt may be given up early, when a sound instance would have answered soon.
+      case TIMED_OUT -> ofWaiting(survival);
       case CONNECT_FAILED, CONNECTION_LOST, ANSWER_INVALID -> BROKEN;
       case SHED -> SHED;
       case CANCELLED -> NONE;
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
@@ -193,7 +193,7 @@
    * @param millis its length in milliseconds
    */
   public void observeOwn(Observation.Kind kind, double millis) {
-    path.update(Evidence.ofOutcome(kind, latency.deviations(millis)), clock);
+    path.update(ratio(kind, millis), clock);
     observe(kind, millis);
   }
 
@@ -204,13 +204,17 @@
    * @param millis its length in milliseconds
    */
   public void observe(Observation.Kind kind, double millis) {
-    fleet.update(Evidence.ofOutcome(kind, latency.deviations(millis)), clock);
+    fleet.update(ratio(kind, millis), clock);
     if (kind == Observation.Kind.SUCCESS) {
       latency.add(millis);
       lastAnswerNanos = clock.monotonicNanos();
     }
   }
 
+  private double ratio(Observation.Kind kind, double millis) {
+    return Evidence.ofOutcome(kind, latency.deviations(millis), latency.survival(millis));
+  }
+
   double secondsSinceAnswer() {
     return (clock.monotonicNanos() - lastAnswerNanos) / (NANOS_PER_MILLI * 1000);
   }
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceState.java
@@ -53,6 +53,9 @@
 
   private static final double STALE_SECONDS = 0.7;
 
+  /** Failure probability above which a trial tells little more than that nothing has changed. */
+  private static final double EXPLORED_RISK = 0.45;
+
   private final Clock clock;
   private final UniformRandomProvider random;
   private final @Nullable FailureDomain ownDomain;
@@ -191,7 +194,8 @@
     cost += isNear(state) ? 0 : REMOTE_COST;
     cost += isHome ? 0 : AWAY_COST;
     cost += state.isCold() ? COLD_COST : 0;
-    if (isHome && repeatable && state.load() == 0 && state.secondsSinceAnswer() > STALE_SECONDS) {
+    boolean isWorthTrying = isHome && repeatable && risk < EXPLORED_RISK;
+    if (isWorthTrying && state.load() == 0 && state.secondsSinceAnswer() > STALE_SECONDS) {
       cost -= EXPLORATION;
     }
     return cost + JITTER * random.nextDouble();
