Note a disturbance of the soak before it takes effect

Cause: soak seed 15 (15 s, 4 VMs, 6 instances; logs in the scratch copy) reported an answer cut short at VM 0 in calm. Trace: the VM's log breaks off at that moment and goes on with a new process, so the cut was the SIGKILL of the soak, which was noted only after it had been submitted. Callers saw the cut; the users allow that. Change: the span is noted first; a cut that the caller sees counts only at a VM that is not disturbed.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/Exchanged.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/Exchanged.java
@@ -26,6 +26,9 @@
   /** Status of a request that got no answer. */
   static final int NO_ANSWER = 0;
 
+  /** Problem of an answer whose body ended visibly before its declared end. */
+  static final String CUT_SHORT = "answer cut short";
+
   /** Tells whether the request may run once at most. */
   boolean isUnsafe() {
     return !path.startsWith(Configurations.LOOK_UPS);
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/FaultSoakTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/FaultSoakTest.java
@@ -21,8 +21,11 @@
   private static final int INSTANCES = Integer.getInteger("soak.instances", 5);
   private static final int SECONDS = Integer.getInteger("soak.seconds", 12);
 
-  /** Seeds such as 1-50 or 3,7,9; the first is the one that CI plays. */
-  private static final String SEEDS = System.getProperty("soak.seeds", "1");
+  /**
+   * Seeds such as 1-50 or 3,7,9. CI plays those that ever failed: 1, a reload signal ended a VM
+   * that was starting; 15, a disturbance was noted only after it had cut an answer.
+   */
+  private static final String SEEDS = System.getProperty("soak.seeds", "1,15");
 
   static LongStream seeds() {
     return Arrays.stream(SEEDS.split(",", -1))
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakCaller.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakCaller.java
@@ -118,7 +118,7 @@
 
   private static String problemOf(Answer answer, String id) {
     if (!answer.isWhole()) {
-      return "answer cut short";
+      return Exchanged.CUT_SHORT;
     }
     if (answer.status() != OK) {
       return "";
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakFleet.java
@@ -81,6 +81,10 @@
 
   /** Starts a disturbance; it ends by itself. */
   void disturb(Disturbance disturbance) {
+    // Noted before it takes effect, so that no request in between counts as undisturbed.
+    long now = System.nanoTime();
+    long until = now + TimeUnit.MILLISECONDS.toNanos(disturbance.forMillis());
+    noteSpan(disturbance, now, until + extraNanos(disturbance.kind()));
     disturbances.execute(
         () -> {
           long from = System.nanoTime();
@@ -93,10 +97,6 @@
           }
           note(disturbance, from);
         });
-    // Noted before it takes effect as well, so that no request in between counts as undisturbed.
-    long now = System.nanoTime();
-    long until = now + TimeUnit.MILLISECONDS.toNanos(disturbance.forMillis());
-    noteSpan(disturbance, now, until + extraNanos(disturbance.kind()));
   }
 
   private void note(Disturbance disturbance, long from) {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakJudge.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakJudge.java
@@ -87,7 +87,7 @@
 
   private void judgeAnswer(Exchanged request) {
     List<Run> ran = runs.getOrDefault(request.requestId(), List.of());
-    if (request.status() == 200 && !request.problem().isEmpty()) {
+    if (request.status() == 200 && !request.problem().isEmpty() && !isVisibleCut(request)) {
       violate("answer is not the instance's", request);
     }
     if (request.isUnsafe() && ran.size() > 1) {
@@ -112,6 +112,14 @@
     }
   }
 
+  /** A VM that is disturbed may end an answer too soon, as long as the caller sees the cut. */
+  private boolean isVisibleCut(Exchanged request) {
+    return request.problem().equals(Exchanged.CUT_SHORT)
+        && !fleet
+            .timeline()
+            .isCalm(Disturbance.Place.VM, request.vm(), request.sentNanos(), request.endedNanos());
+  }
+
   private void judgeRuns(String id, @Nullable Exchanged request, List<Run> ran) {
     for (Run run : ran) {
       InstanceStandIn.Received received = run.received();
