Use the first page of the source before the last one is read

Change: the client of the store hands over each page; the feed applies it without taking the read for complete. Test: ItemFeedTest failed before (nothing applied until the last page).

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -205,6 +205,10 @@
       failed(unavailable.detail());
       return;
     }
+    if (answer instanceof SourceAnswer.Part part) {
+      partRead(part.items());
+      return;
+    }
     if (answer instanceof SourceAnswer.HistoryLost) {
       counters.add("source.history_lost", 1);
       eventLog.record(
@@ -242,6 +246,17 @@
     watchOn();
   }
 
+  /** A VM that has just started serves with what it has, rather than refuse until all is read. */
+  private void partRead(List<SourceItem> part) {
+    lock.run(
+        () -> {
+          List<SourceItem> changed = new ArrayList<>();
+          part.forEach(item -> addIfNewer(changed, item));
+          publish(changed);
+        });
+    effects.drain();
+  }
+
   private void watchOn() {
     int place = rank.getAsInt();
     long[] after = new long[1];
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemSource.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemSource.java
@@ -17,7 +17,7 @@
    * Reads all items.
    *
    * @param freshness how new they must be
-   * @param answer receives exactly one answer
+   * @param answer receives parts as they come, and then exactly one answer
    */
   void readEverything(Freshness freshness, Consumer<SourceAnswer> answer);
 
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/SourceAnswer.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/SourceAnswer.java
@@ -12,6 +12,13 @@
    */
   record Everything(List<SourceItem> items, long revision) implements SourceAnswer {}
 
+  /**
+   * Some of all items, while the others are still being read.
+   *
+   * @param items the items
+   */
+  record Part(List<SourceItem> items) implements SourceAnswer {}
+
   /**
    * What has changed.
    *
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
@@ -46,6 +46,7 @@
     private long historyFrom;
     private List<SourceItem> lagging = List.of();
     private long laggingRevision;
+    private boolean partFirst;
 
     void put(String key, String value) {
       items.put(key, new SourceItem(key, Optional.of(bytes(value)), ++revision));
@@ -62,7 +63,11 @@
           boolean mayLag = freshness == Freshness.MAY_LAG && laggingRevision > 0;
           SourceAnswer items =
               mayLag ? new SourceAnswer.Everything(lagging, laggingRevision) : everything();
-          later(vm, Duration.ofMillis(4), () -> answer.accept(items), answer);
+          if (partFirst) {
+            later(vm, Duration.ofMillis(4), () -> answer.accept(part()), answer);
+          }
+          Duration delay = partFirst ? Duration.ofSeconds(1) : Duration.ofMillis(4);
+          later(vm, delay, () -> answer.accept(items), answer);
         }
 
         @Override
@@ -97,6 +102,11 @@
       laggingRevision = revision;
     }
 
+    private SourceAnswer part() {
+      return new SourceAnswer.Part(
+          items.values().stream().filter(item -> item.value().isPresent()).limit(1).toList());
+    }
+
     private SourceAnswer everything() {
       return new SourceAnswer.Everything(
           items.values().stream().filter(item -> item.value().isPresent()).toList(), revision);
@@ -140,6 +150,11 @@
 
   private void start(int vms) {
     source.put("config", "1");
+    startWithoutWaiting(vms);
+    scheduler.advance(Duration.ofSeconds(3));
+  }
+
+  private void startWithoutWaiting(int vms) {
     for (int i = 0; i < vms; i++) {
       names.add(new VmId("vm-" + i));
     }
@@ -165,7 +180,6 @@
       copies.add(copy);
       feed.start();
     }
-    scheduler.advance(Duration.ofSeconds(3));
   }
 
   private void assertAll(Map<String, String> expected) {
@@ -297,4 +311,21 @@
     long calls = counters.value("source.watches") - before;
     assertTrue(calls <= 10 / 0.2 + 4, "calls: " + calls);
   }
+
+  /**
+   * Pattern: all VMs are lost and come back at once. Each refused its callers until it had read the
+   * last page, although the first one holds the configuration.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 5})
+  void firstPageIsUsedBeforeTheLastOneIsRead(int vms) {
+    source.partFirst = true;
+    source.put("config", "1");
+    source.put("servers/i-1", "a");
+    startWithoutWaiting(vms);
+    scheduler.advance(Duration.ofMillis(300));
+    assertAll(Map.of("config", "1"));
+    scheduler.advance(Duration.ofSeconds(3));
+    assertAll(Map.of("config", "1", "servers/i-1", "a"));
+  }
 }
