Stop waiting for a slot while the caller can still turn elsewhere

Cause: a waiting request was held until its deadline although its work could no longer end in time, and every VM looked through its queues sixteen times a second, waiting requests or not. Change: a request waits until its deadline less the least time in which its work may end; a waiting request asks for a slot again by itself, and the general check is gone.

--- a/kumquatvane-admission/src/main/java/org/kumquatvane/admission/AdmissionQueue.java
+++ b/kumquatvane-admission/src/main/java/org/kumquatvane/admission/AdmissionQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Function;
+import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.Reason;
 import org.kumquatvane.core.ServiceName;
 import org.kumquatvane.core.WorkspaceId;
@@ -63,4 +64,13 @@
    * @return waiting requests
    */
   int waiting(ServiceName service);
+
+  /**
+   * Returns until when it is of use that a request waits.
+   *
+   * @param service the service
+   * @param request the request
+   * @return its deadline less the least time in which its work may end
+   */
+  Deadline usefulUntil(ServiceName service, WaitingRequest request);
 }
--- a/kumquatvane-admission/src/main/java/org/kumquatvane/admission/FairAdmissionQueue.java
+++ b/kumquatvane-admission/src/main/java/org/kumquatvane/admission/FairAdmissionQueue.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import org.kumquatvane.admission.internal.ServiceQueue;
 import org.kumquatvane.core.Clock;
+import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.LockRank;
 import org.kumquatvane.core.RankedLock;
 import org.kumquatvane.core.Reason;
@@ -101,6 +102,13 @@
     return lock.call(() -> queue(service).waiting());
   }
 
+  @Override
+  public Deadline usefulUntil(ServiceName service, WaitingRequest request) {
+    long needed = lock.call(() -> queue(service).leastUsefulNanos());
+    long now = clock.monotonicNanos();
+    return new Deadline(Math.max(now, request.deadline().nanos() - needed));
+  }
+
   private ServiceQueue queue(ServiceName service) {
     return queues.computeIfAbsent(service, unused -> new ServiceQueue());
   }
--- a/kumquatvane-admission/src/main/java/org/kumquatvane/admission/internal/ServiceQueue.java
+++ b/kumquatvane-admission/src/main/java/org/kumquatvane/admission/internal/ServiceQueue.java
@@ -204,6 +204,16 @@
     }
   }
 
+  /**
+   * Returns the time below which a request is not worth a slot: half of a usual slot time, since it
+   * may be a short one.
+   *
+   * @return the time, or 0 before the first request has ended
+   */
+  public long leastUsefulNanos() {
+    return hasTypical ? typicalNanos / 2 : 0;
+  }
+
   /**
    * Returns how many requests wait.
    *
--- a/kumquatvane-admission/src/test/java/org/kumquatvane/admission/FairAdmissionQueueTest.java
+++ b/kumquatvane-admission/src/test/java/org/kumquatvane/admission/FairAdmissionQueueTest.java
@@ -51,6 +51,17 @@
     }
   }
 
+  /**
+   * Pattern: all slots of a service hang. Requests were held until their deadline and refused when
+   * their callers could no longer turn elsewhere.
+   */
+  @Test
+  void waitingEndsWhileTheCallerCanStillTurnElsewhere() {
+    learn("alpha");
+    long needed = queue.leastUsefulNanos();
+    assertEquals(SLOT_TIME.toMillis() / 2.0, needed * 1e-6, 1);
+  }
+
   @ParameterizedTest(name = "{0} waiting on {1} slots, {2} ms left")
   @CsvSource({
     "0, 1, 40, true",
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.engine.internal;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -41,6 +42,9 @@
    */
   private static final double PATIENCE = 0.25;
 
+  /** A fraction of the shortest work of an instance. */
+  private static final Duration RECHECK = Duration.ofMillis(60);
+
   private final EngineDependencies dependencies;
   private final SlotDispatcher dispatcher;
   private final AuthorizedRequest request;
@@ -55,6 +59,7 @@
   private final Set<InstanceId> tried = ConcurrentHashMap.newKeySet();
   private volatile @Nullable AttemptStep current;
   private volatile boolean callerLeft;
+  private volatile boolean isQueued;
   private volatile Scheduler.@Nullable Scheduled queueDeadline;
   private int attemptsMade;
   private boolean mayHaveRun;
@@ -152,23 +157,43 @@
               Reason.NO_INSTANCE, "service " + request.service().name() + " has no instance"));
       return;
     }
+    isQueued = true;
     Optional<Reason> refusal = dependencies.queue().enqueue(request.service().name(), this);
     if (refusal.isPresent()) {
+      isQueued = false;
       refuse(notRunOrUnknown(refusal.get(), "service " + request.service().name() + " is busy"));
       return;
     }
-    // A queued request is woken by its deadline even if no slot ever becomes free.
+    // A queued request is woken even if no slot ever becomes free, while its caller can still turn
+    // elsewhere.
     queueDeadline =
         dependencies
             .scheduler()
             .schedule(
-                request.deadline(),
+                dependencies.queue().usefulUntil(request.service().name(), this),
                 () -> {
                   if (dependencies.queue().remove(request.service().name(), this)) {
                     expired();
                   }
                 });
     dispatcher.dispatch(request.service().name());
+    scheduleRecheck();
+  }
+
+  /** Looks for a slot again after a while, since evidence on instances changes with time alone. */
+  private void scheduleRecheck() {
+    if (isQueued) {
+      dependencies
+          .scheduler()
+          .schedule(
+              Deadline.after(dependencies.clock(), RECHECK),
+              () -> {
+                if (isQueued) {
+                  dispatcher.dispatch(request.service().name());
+                  scheduleRecheck();
+                }
+              });
+    }
   }
 
   @Override
@@ -204,11 +229,13 @@
 
   @Override
   public void expired() {
+    isQueued = false;
     refuse(notRunOrUnknown(Reason.DEADLINE_PASSED_WAITING, "the deadline passed in the queue"));
   }
 
   @Override
   public void granted(Reservation reservation) {
+    isQueued = false;
     Scheduler.Scheduled waiting = queueDeadline;
     if (waiting != null) {
       waiting.cancel();
@@ -328,6 +355,7 @@
   public void callerLeft() {
     callerLeft = true;
     if (dependencies.queue().remove(request.service().name(), this)) {
+      isQueued = false;
       dependencies.workers().resume(this::abandon);
       return;
     }
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryDecisions.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/internal/EntryDecisions.java
@@ -1,11 +1,8 @@
 package org.kumquatvane.server.internal;
 
-import java.time.Duration;
 import java.util.List;
 import org.kumquatvane.admission.FairAdmissionQueue;
-import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.ServiceName;
-import org.kumquatvane.document.Document;
 import org.kumquatvane.document.DocumentListener;
 import org.kumquatvane.ejection.CrashReport;
 import org.kumquatvane.ejection.SharedCrashGuard;
@@ -33,9 +30,6 @@
   /** Connections of one VM to one instance: more than an instance has slots. */
   private static final int CONNECTIONS_PER_INSTANCE = 4;
 
-  /** Waiting requests are looked at again this often, since evidence changes with time alone. */
-  private static final Duration RECHECK = Duration.ofMillis(60);
-
   private final ProcessRuntime runtime;
   private final CompactKeyTable keys = new CompactKeyTable();
   private final DocumentRouteTable routes = new DocumentRouteTable();
@@ -43,7 +37,6 @@
   private final FairAdmissionQueue queue;
   private final FleetInstancePool instances;
   private final RequestEngine engine;
-  private volatile List<ServiceName> services = List.of();
 
   /**
    * Creates the tables and registers their peer messages.
@@ -126,26 +119,12 @@
    * @return the listeners
    */
   public List<DocumentListener> documentListeners() {
-    return List.of(keys, routes, limiter, queue, instances, engine, this::remember);
-  }
-
-  private void remember(Document document) {
-    services = document.services().stream().map(service -> service.name()).toList();
+    return List.of(keys, routes, limiter, queue, instances, engine);
   }
 
   /** Starts the periodic work. */
   public void start() {
     limiter.start();
-    recheck();
-  }
-
-  private void recheck() {
-    for (ServiceName service : services) {
-      if (queue.waiting(service) > 0) {
-        engine.capacityAvailable(service);
-      }
-    }
-    runtime.scheduler().schedule(Deadline.after(runtime.clock(), RECHECK), this::recheck);
   }
 
   /**
