Give the item table and the wait in a queue classes of their own

Change: ItemTable holds the newest items and their revision, QueueWait the timers of one wait. Behaviour stays. Measured: ItemFeedTest, RequestEngineTest and GrayFailureTest pass.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -2,15 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.Counters;
 import org.kumquatvane.core.Deadline;
@@ -23,6 +17,7 @@
 import org.kumquatvane.core.RankedLock;
 import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.core.VmId;
+import org.kumquatvane.distribution.internal.ItemTable;
 
 /**
  * Keeps this VM's copy of the source's items up to date at few calls to the source.
@@ -36,7 +31,6 @@
 public final class ItemFeed {
   private static final Duration TICK = Duration.ofMillis(150);
   private static final String READER_TASK = "source-reader";
-  private static final long NOTHING = -1;
 
   private final RankedLock lock = new RankedLock(LockRank.DISTRIBUTION);
   private final ItemFeedSettings settings;
@@ -50,8 +44,7 @@
   private final Counters counters;
   private final EventLog eventLog;
   private final OrderedEffects effects = new OrderedEffects();
-  private final Map<String, SourceItem> items = new HashMap<>();
-  private long revision = NOTHING;
+  private final ItemTable table = new ItemTable();
   private long confirmedNanos;
   private boolean calling;
   private boolean caughtUp;
@@ -138,7 +131,7 @@
    * @return the revision, or a negative number before the first items
    */
   public long revision() {
-    return lock.call(() -> revision);
+    return lock.call(() -> table.revision());
   }
 
   /**
@@ -162,7 +155,7 @@
     Call call =
         lock.call(
             () -> {
-              after[0] = revision;
+              after[0] = table.revision();
               return nextCall(place);
             });
     if (call == Call.READ) {
@@ -182,7 +175,7 @@
     if (closed || calling || !nextCall.isReached(clock)) {
       return Call.NONE;
     }
-    if (revision == NOTHING) {
+    if (table.revision() == ItemTable.NOTHING) {
       calling = true;
       return Call.READ;
     }
@@ -221,12 +214,12 @@
     lock.run(
         () -> {
           calling = false;
-          long from = revision;
+          long from = table.revision();
           caughtUp |= answer instanceof SourceAnswer.Changes;
           List<SourceItem> changed =
               answer instanceof SourceAnswer.Everything everything
-                  ? applyEverything(everything.items(), everything.revision())
-                  : applyChanges(
+                  ? table.applyEverything(everything.items(), everything.revision())
+                  : table.applyChanges(
                       ((SourceAnswer.Changes) answer).items(),
                       ((SourceAnswer.Changes) answer).revision());
           confirmed();
@@ -234,8 +227,8 @@
           if (!changed.isEmpty() && answer instanceof SourceAnswer.Changes) {
             nextCall = Deadline.after(clock, settings.pause());
           }
-          if (from != NOTHING) {
-            reports.add(new ItemsReport(false, from, revision, changed));
+          if (from != ItemTable.NOTHING) {
+            reports.add(new ItemsReport(false, from, table.revision(), changed));
           }
         });
     effects.drain();
@@ -250,9 +243,7 @@
   private void partRead(List<SourceItem> part) {
     lock.run(
         () -> {
-          List<SourceItem> changed = new ArrayList<>();
-          part.forEach(item -> addIfNewer(changed, item));
-          publish(changed);
+          publish(table.applyPart(part));
         });
     effects.drain();
   }
@@ -263,7 +254,7 @@
     boolean goesOn =
         lock.call(
             () -> {
-              after[0] = revision;
+              after[0] = table.revision();
               return nextCall(place) == Call.WATCH;
             });
     if (goesOn) {
@@ -281,7 +272,7 @@
             () -> {
               calling = false;
               nextCall = Deadline.after(clock, settings.retry());
-              asks[0] = revision == NOTHING && nextInquiry.isReached(clock);
+              asks[0] = table.revision() == ItemTable.NOTHING && nextInquiry.isReached(clock);
               if (asks[0]) {
                 nextInquiry = Deadline.after(clock, settings.retry());
               }
@@ -301,7 +292,7 @@
       // A VM without items takes them from a peer; the source's newer ones follow.
       sender.send(
           known.get(Math.floorMod((int) clock.monotonicNanos(), known.size())),
-          new ItemsInquiry(NOTHING));
+          new ItemsInquiry(ItemTable.NOTHING));
     }
   }
 
@@ -313,7 +304,7 @@
     confirmedNanos = now;
     if (sourceLost) {
       sourceLost = false;
-      long known = revision;
+      long known = table.revision();
       effects.add(
           () ->
               eventLog.record(
@@ -328,64 +319,25 @@
     }
   }
 
-  private List<SourceItem> applyEverything(List<SourceItem> all, long at) {
-    if (at < revision) {
-      return List.of();
-    }
-    Set<String> present = new HashSet<>();
-    List<SourceItem> changed = new ArrayList<>();
-    for (SourceItem item : all) {
-      present.add(item.key());
-      addIfNewer(changed, item);
-    }
-    for (SourceItem known : List.copyOf(items.values())) {
-      if (!present.contains(known.key()) && known.value().isPresent() && known.revision() <= at) {
-        addIfNewer(changed, new SourceItem(known.key(), Optional.empty(), at));
-      }
-    }
-    revision = at;
-    return changed;
-  }
-
-  private List<SourceItem> applyChanges(List<SourceItem> changes, long at) {
-    List<SourceItem> changed = new ArrayList<>();
-    changes.forEach(item -> addIfNewer(changed, item));
-    revision = Math.max(revision, at);
-    return changed;
-  }
-
-  private void addIfNewer(List<SourceItem> changed, SourceItem item) {
-    @Nullable SourceItem known = items.get(item.key());
-    boolean sameRevisionRemoved =
-        known != null && known.revision() == item.revision() && item.value().isEmpty();
-    if (known == null
-        ? item.value().isPresent()
-        : known.revision() < item.revision()
-            || (sameRevisionRemoved && known.value().isPresent())) {
-      items.put(item.key(), item);
-      changed.add(item);
-    }
-  }
-
   private void reported(VmId from, ItemsReport report) {
     boolean gap =
         lock.call(
             () -> {
               if (report.complete()) {
-                List<SourceItem> all = applyEverything(report.items(), report.revision());
+                List<SourceItem> all = table.applyEverything(report.items(), report.revision());
                 caughtUp = true;
                 confirmed();
                 publish(all);
                 return false;
               }
-              if (report.fromRevision() > revision) {
+              if (report.fromRevision() > table.revision()) {
                 boolean due = nextInquiry.isReached(clock);
                 if (due) {
                   nextInquiry = Deadline.after(clock, settings.retry());
                 }
                 return due;
               }
-              List<SourceItem> changed = applyChanges(report.items(), report.revision());
+              List<SourceItem> changed = table.applyChanges(report.items(), report.revision());
               caughtUp = true;
               confirmed();
               publish(changed);
@@ -402,10 +354,8 @@
     List<ItemsReport> answers = new ArrayList<>();
     lock.run(
         () -> {
-          if (revision > inquiry.knownRevision()) {
-            List<SourceItem> all =
-                items.values().stream().filter(item -> item.value().isPresent()).toList();
-            answers.add(new ItemsReport(true, 0, revision, all));
+          if (table.revision() > inquiry.knownRevision()) {
+            answers.add(new ItemsReport(true, 0, table.revision(), table.present()));
           }
         });
     answers.forEach(answer -> sender.send(from, answer));
--- /dev/null
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemTable.java
@@ -0,0 +1,103 @@
+package org.kumquatvane.distribution.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.kumquatvane.distribution.SourceItem;
+
+/** The newest known item of each key, which never goes back. Guarded by the lock of the feed. */
+public final class ItemTable {
+  /** Revision before the first complete set. */
+  public static final long NOTHING = -1;
+
+  private final Map<String, SourceItem> items = new HashMap<>();
+  private long revision = NOTHING;
+
+  /**
+   * Returns the revision up to which the items are complete.
+   *
+   * @return the revision, or {@link #NOTHING}
+   */
+  public long revision() {
+    return revision;
+  }
+
+  /**
+   * Returns the items that are not removed.
+   *
+   * @return the items
+   */
+  public List<SourceItem> present() {
+    return items.values().stream().filter(item -> item.value().isPresent()).toList();
+  }
+
+  /**
+   * Takes over some items of an incomplete set.
+   *
+   * @param part the items
+   * @return the items that have changed
+   */
+  public List<SourceItem> applyPart(List<SourceItem> part) {
+    List<SourceItem> changed = new ArrayList<>();
+    part.forEach(item -> addIfNewer(changed, item));
+    return changed;
+  }
+
+  /**
+   * Takes over a complete set of items; an older set than the known one changes nothing.
+   *
+   * @param all the items
+   * @param at revision of the set
+   * @return the items that have changed
+   */
+  public List<SourceItem> applyEverything(List<SourceItem> all, long at) {
+    if (at < revision) {
+      return List.of();
+    }
+    Set<String> present = new HashSet<>();
+    List<SourceItem> changed = new ArrayList<>();
+    for (SourceItem item : all) {
+      present.add(item.key());
+      addIfNewer(changed, item);
+    }
+    for (SourceItem known : List.copyOf(items.values())) {
+      if (!present.contains(known.key()) && known.value().isPresent() && known.revision() <= at) {
+        addIfNewer(changed, new SourceItem(known.key(), Optional.empty(), at));
+      }
+    }
+    revision = at;
+    return changed;
+  }
+
+  /**
+   * Takes over changes.
+   *
+   * @param changes changed and removed items
+   * @param at revision up to which they are complete
+   * @return the items that have changed
+   */
+  public List<SourceItem> applyChanges(List<SourceItem> changes, long at) {
+    List<SourceItem> changed = new ArrayList<>();
+    changes.forEach(item -> addIfNewer(changed, item));
+    revision = Math.max(revision, at);
+    return changed;
+  }
+
+  private void addIfNewer(List<SourceItem> changed, SourceItem item) {
+    @Nullable SourceItem known = items.get(item.key());
+    boolean sameRevisionRemoved =
+        known != null && known.revision() == item.revision() && item.value().isEmpty();
+    if (known == null
+        ? item.value().isPresent()
+        : known.revision() < item.revision()
+            || (sameRevisionRemoved && known.value().isPresent())) {
+      items.put(item.key(), item);
+      changed.add(item);
+    }
+  }
+}
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -1,6 +1,5 @@
 package org.kumquatvane.engine.internal;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,7 +12,6 @@
 import org.kumquatvane.core.Invariant;
 import org.kumquatvane.core.LogField;
 import org.kumquatvane.core.Reason;
-import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.core.WorkspaceId;
 import org.kumquatvane.ejection.RequestFingerprint;
 import org.kumquatvane.engine.AuthorizedRequest;
@@ -42,9 +40,6 @@
    */
   private static final double PATIENCE = 0.25;
 
-  /** A fraction of the shortest work of an instance. */
-  private static final Duration RECHECK = Duration.ofMillis(60);
-
   private final EngineDependencies dependencies;
   private final SlotDispatcher dispatcher;
   private final AuthorizedRequest request;
@@ -55,12 +50,11 @@
   private final RequestLog requestLog;
   private final OperationGate operation;
   private final AttemptRules rules;
+  private final QueueWait wait;
   private final AtomicBoolean ended = new AtomicBoolean();
   private final Set<InstanceId> tried = ConcurrentHashMap.newKeySet();
   private volatile @Nullable AttemptStep current;
   private volatile boolean callerLeft;
-  private volatile boolean isQueued;
-  private volatile Scheduler.@Nullable Scheduled queueDeadline;
   private int attemptsMade;
   private boolean mayHaveRun;
 
@@ -89,6 +83,7 @@
     fingerprint = Fingerprints.of(request, body);
     requestLog = new RequestLog(dependencies, request);
     operation = new OperationGate(dependencies, request, body);
+    wait = new QueueWait(dependencies);
     rules = new AttemptRules(dependencies, request, body, fingerprint);
     patientUntil =
         new Deadline(
@@ -157,42 +152,23 @@
               Reason.NO_INSTANCE, "service " + request.service().name() + " has no instance"));
       return;
     }
-    isQueued = true;
     Optional<Reason> refusal = dependencies.queue().enqueue(request.service().name(), this);
     if (refusal.isPresent()) {
-      isQueued = false;
       refuse(notRunOrUnknown(refusal.get(), "service " + request.service().name() + " is busy"));
       return;
     }
     // A queued request is woken even if no slot ever becomes free, while its caller can still turn
     // elsewhere.
-    queueDeadline =
-        dependencies
-            .scheduler()
-            .schedule(
-                dependencies.queue().usefulUntil(request.service().name(), this),
-                () -> {
-                  if (dependencies.queue().remove(request.service().name(), this)) {
-                    expired();
-                  }
-                });
+    wait.begin(
+        dependencies.queue().usefulUntil(request.service().name(), this),
+        this::endUselessWait,
+        () -> dispatcher.dispatch(request.service().name()));
     dispatcher.dispatch(request.service().name());
-    scheduleRecheck();
   }
 
-  /** Looks for a slot again after a while, since evidence on instances changes with time alone. */
-  private void scheduleRecheck() {
-    if (isQueued) {
-      dependencies
-          .scheduler()
-          .schedule(
-              Deadline.after(dependencies.clock(), RECHECK),
-              () -> {
-                if (isQueued) {
-                  dispatcher.dispatch(request.service().name());
-                  scheduleRecheck();
-                }
-              });
+  private void endUselessWait() {
+    if (dependencies.queue().remove(request.service().name(), this)) {
+      expired();
     }
   }
 
@@ -229,17 +205,13 @@
 
   @Override
   public void expired() {
-    isQueued = false;
+    wait.end();
     refuse(notRunOrUnknown(Reason.DEADLINE_PASSED_WAITING, "the deadline passed in the queue"));
   }
 
   @Override
   public void granted(Reservation reservation) {
-    isQueued = false;
-    Scheduler.Scheduled waiting = queueDeadline;
-    if (waiting != null) {
-      waiting.cancel();
-    }
+    wait.end();
     if (callerLeft) {
       dependencies.instances().release(reservation);
       dependencies.queue().charge(request.service().name(), request.workspace(), 0);
@@ -355,7 +327,7 @@
   public void callerLeft() {
     callerLeft = true;
     if (dependencies.queue().remove(request.service().name(), this)) {
-      isQueued = false;
+      wait.end();
       dependencies.workers().resume(this::abandon);
       return;
     }
