--- a/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
+++ b/kumquatvane-settings/src/main/java/org/kumquatvane/settings/EntrySettingsParser.java
@@ -56,14 +56,16 @@
   }
 
   private static EntrySettings read(ObjectReader main) {
+    SocketEndpoint peer = EndpointReader.readCombined(main, "peerAddress");
     return new EntrySettings(
         main.text("vmName", TextForm.NAME),
         new FailureDomain(main.text("failureDomain", TextForm.NAME)),
         EndpointReader.readCombined(main, "callerAddress"),
         EndpointReader.readCombined(main, "operatorAddress"),
-        EndpointReader.readCombined(main, "peerAddress"),
-        EndpointReader.readCombined(
-            main, main.has("peerListenAddress") ? "peerListenAddress" : "peerAddress"),
+        peer,
+        main.has("peerListenAddress")
+            ? EndpointReader.readCombined(main, "peerListenAddress")
+            : peer,
         readSeeds(main),
         EndpointReader.readCombined(main, "sourceAddress"),
         seconds(main.decimal("stopGraceSeconds", 1, LONGEST_SECONDS)),
--- a/kumquatvane-settings/src/test/java/org/kumquatvane/settings/EntrySettingsParserTest.java
+++ b/kumquatvane-settings/src/test/java/org/kumquatvane/settings/EntrySettingsParserTest.java
@@ -78,6 +78,8 @@
   void namesTheFaultyField(String text, String replacement, String field) {
     SettingsResult.Invalid<?> invalid =
         assertInstanceOf(SettingsResult.Invalid.class, parse(MINIMAL.replace(text, replacement)));
+    assertEquals(
+        invalid.faults().stream().distinct().toList(), invalid.faults(), "each fault once");
     assertTrue(
         invalid.faults().stream().anyMatch(fault -> fault.toString().contains(field)),
         invalid.faults()::toString);
