Log many instances or VMs that appear at once in one line

Change: more than 20 instances or four VMs at once make one line with their number. Test: InstanceRosterTest, 1, 20 and 400 instances at once.

--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/internal/MemberTable.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/internal/MemberTable.java
@@ -38,6 +38,9 @@
   /** VMs of other domains are heard of through others only, and so count as down later. */
   private static final int FAR_PATIENCE = 3;
 
+  /** VMs that are logged one by one when they are learnt of at once; at a start there are many. */
+  private static final int LOGGED_ONE_BY_ONE = 4;
+
   private final Vm self;
   private final GossipSettings settings;
   private final Clock clock;
@@ -176,6 +179,7 @@
    */
   public boolean merge(Collection<Member> members) {
     boolean changed = false;
+    List<Member> joined = new ArrayList<>();
     for (Member member : members) {
       Vm vm = member.vm();
       if (vm.id().equals(self.id())) {
@@ -184,12 +188,7 @@
       Entry known = entries.get(vm.id());
       if (known == null) {
         entries.put(vm.id(), new Entry(member, downAt(vm), forgottenAt()));
-        eventLog.record(
-            EventLog.Level.INFO,
-            "vm_joined",
-            LogField.of("peer", vm.id()),
-            LogField.of("failure_domain", vm.failureDomain()),
-            LogField.of("incarnation", member.incarnation()));
+        joined.add(member);
         changed = true;
       } else if (member.isNewerThan(known.member)) {
         changed |= known.member.vm().state() != vm.state() || known.reportedDown;
@@ -197,9 +196,29 @@
         markAlive(known);
       }
     }
+    logJoined(joined);
     return changed;
   }
 
+  private void logJoined(List<Member> joined) {
+    if (joined.size() > LOGGED_ONE_BY_ONE) {
+      eventLog.record(
+          EventLog.Level.INFO,
+          "vms_joined",
+          LogField.of("count", joined.size()),
+          LogField.of("known", entries.size()));
+      return;
+    }
+    for (Member member : joined) {
+      eventLog.record(
+          EventLog.Level.INFO,
+          "vm_joined",
+          LogField.of("peer", member.vm().id()),
+          LogField.of("failure_domain", member.vm().failureDomain()),
+          LogField.of("incarnation", member.incarnation()));
+    }
+  }
+
   private void markAlive(Entry entry) {
     entry.downAt = downAt(entry.member.vm());
     entry.forgottenAt = forgottenAt();
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstanceRoster.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstanceRoster.java
@@ -1,12 +1,15 @@
 package org.kumquatvane.selection;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.Deadline;
@@ -28,6 +31,12 @@
   /** Time within which entries of live instances come back, as the users state it. */
   private static final Duration RETURN_TIME = Duration.ofMillis(1_900);
 
+  /**
+   * Instances that are logged one by one when they are listed at once; a VM that starts learns of
+   * hundreds, and a line for each takes a noticeable part of its start.
+   */
+  private static final int LOGGED_ONE_BY_ONE = 20;
+
   private final RankedLock lock = new RankedLock(LockRank.DISTRIBUTION);
   private final Clock clock;
   private final Scheduler scheduler;
@@ -75,9 +84,11 @@
         lock.call(
             () -> {
               boolean kept = false;
+              List<Instance> appeared = new ArrayList<>();
               for (Change change : changes) {
-                kept |= apply(change, sourceReturned);
+                kept |= apply(change, sourceReturned, appeared);
               }
+              logListed(appeared);
               publish();
               return kept;
             });
@@ -87,14 +98,16 @@
     }
   }
 
-  private boolean apply(Change change, boolean sourceReturned) {
+  private boolean apply(Change change, boolean sourceReturned, List<Instance> appeared) {
     @Nullable Instance known = listed.get(change.id());
     if (change.instance().isPresent()) {
       Instance instance = change.instance().get();
       listed.put(change.id(), instance);
       lapsing.remove(change.id());
-      if (known == null || known.leaving() != instance.leaving()) {
-        log(instance.leaving() ? "instance_leaving" : "instance_listed", instance);
+      if (instance.leaving() && (known == null || !known.leaving())) {
+        log("instance_leaving", instance);
+      } else if (!instance.leaving() && (known == null || known.leaving())) {
+        appeared.add(instance);
       }
       return false;
     }
@@ -111,6 +124,25 @@
     return false;
   }
 
+  private void logListed(List<Instance> appeared) {
+    if (appeared.size() <= LOGGED_ONE_BY_ONE) {
+      appeared.forEach(instance -> log("instance_listed", instance));
+      return;
+    }
+    Map<String, Long> byService =
+        appeared.stream()
+            .collect(
+                Collectors.groupingBy(
+                    instance -> instance.service().value(), TreeMap::new, Collectors.counting()));
+    effects.add(
+        () ->
+            eventLog.record(
+                EventLog.Level.INFO,
+                "instances_listed",
+                LogField.of("count", appeared.size()),
+                LogField.of("services", byService)));
+  }
+
   private void log(String event, Instance instance) {
     effects.add(
         () ->
--- a/kumquatvane-selection/src/test/java/org/kumquatvane/selection/InstanceRosterTest.java
+++ b/kumquatvane-selection/src/test/java/org/kumquatvane/selection/InstanceRosterTest.java
@@ -3,17 +3,19 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.kumquatvane.core.FailureDomain;
 import org.kumquatvane.core.InstanceId;
 import org.kumquatvane.core.ServiceName;
 import org.kumquatvane.core.SocketEndpoint;
-import org.kumquatvane.testing.DiscardingEventLog;
 import org.kumquatvane.testing.LogicalClock;
 import org.kumquatvane.testing.LogicalScheduler;
 
@@ -24,22 +26,27 @@
   private final LogicalClock clock = new LogicalClock();
   private final LogicalScheduler scheduler = new LogicalScheduler(clock);
   private final Set<String> listed = new TreeSet<>();
+  private final List<String> events = new ArrayList<>();
   private final InstanceRoster roster =
       new InstanceRoster(
           clock,
           scheduler,
-          new DiscardingEventLog(),
+          (level, event, fields) -> events.add(event),
           instances -> {
             listed.clear();
             instances.forEach(instance -> listed.add(instance.id().value()));
           });
 
   private static InstanceRoster.Change listing(boolean leaving) {
+    return listing(ID, leaving);
+  }
+
+  private static InstanceRoster.Change listing(InstanceId id, boolean leaving) {
     return new InstanceRoster.Change(
-        ID,
+        id,
         Optional.of(
             new Instance(
-                ID,
+                id,
                 new ServiceName("rota"),
                 new SocketEndpoint("127.0.0.1", 6_000),
                 new FailureDomain("a"),
@@ -69,4 +76,19 @@
     scheduler.advance(Duration.ofSeconds(2));
     assertEquals(comesBack ? "i-1" : "", String.join(",", listed));
   }
+
+  /**
+   * Pattern: all VMs are lost and come back at once. A line for each instance took a noticeable
+   * part of each VM's start.
+   */
+  @ParameterizedTest
+  @CsvSource({"1, 1, instance_listed", "20, 20, instance_listed", "400, 1, instances_listed"})
+  void manyInstancesAtOnceAreLoggedInOneLine(int instances, int lines, String event) {
+    List<InstanceRoster.Change> changes =
+        IntStream.range(0, instances)
+            .mapToObj(i -> listing(new InstanceId("i-" + i), false))
+            .toList();
+    roster.apply(changes, false);
+    assertEquals(Collections.nCopies(lines, event), events);
+  }
 }
