Give the process tests on the platform a retry budget that they cannot use up

Ruled out: a change of the retry decision itself; the cases check what callers are told, FleetRetryBudgetTest the budget.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
@@ -115,7 +115,7 @@
           "callerAddress": "127.0.0.1:%d", "operatorAddress": "127.0.0.1:%d",
           "peerAddress": "127.0.0.1:%d", "seeds": ["127.0.0.1:%d"],
           "sourceAddress": "127.0.0.1:%d", "stopGraceSeconds": 60,
-          "fleetSecret": "platform-test-secret", "assertions": true
+          "retryBudget": {"fixed": 400}, "fleetSecret": "platform-test-secret", "assertions": true
         }
         """
         .formatted(name, vm.callerPort, vm.operatorPort, vm.peerPort, seed, store.port());
