Show that VMs don't notice that a caller has left

Cause: the NIO transport of the deploy file reports the end of a stream only to a channel that reads, and none reads while it waits for an answer.

--- a/review/standins/Instance.java
+++ b/review/standins/Instance.java
@@ -8,6 +8,9 @@
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in of an instance that runs requests as the pages say. */
@@ -71,8 +74,9 @@
   private final int slots;
   private final Record record;
   private final ServerSocket server;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger waiting = new AtomicInteger();
-  private final java.util.concurrent.Semaphore free;
+  private final Semaphore free;
   volatile long workMillis = 20;
   volatile Behaviour behaviour = (instance, request, connection) -> false;
   volatile boolean closed;
@@ -83,7 +87,7 @@
     this.zone = zone;
     this.slots = slots;
     this.record = record;
-    free = new java.util.concurrent.Semaphore(slots, true);
+    free = new Semaphore(slots, true);
     server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
     Harness.daemon("instance-" + id, this::accept);
   }
@@ -103,6 +107,7 @@
       try {
         Socket socket = server.accept();
         socket.setTcpNoDelay(true);
+        sockets.add(socket);
         Harness.daemon("connection-" + id, () -> serve(socket));
       } catch (IOException e) {
         return;
@@ -119,6 +124,8 @@
       }
     } catch (IOException e) {
       // The VM has closed the connection.
+    } finally {
+      sockets.remove(socket);
     }
   }
 
@@ -189,6 +196,15 @@
             + "\r\n\r\n" + new String(body, StandardCharsets.UTF_8));
   }
 
+  /** Ends without a word: resets all connections and accepts no more. */
+  void crash() throws IOException {
+    close();
+    for (Socket socket : sockets) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
   @Override
   public void close() throws IOException {
     closed = true;
