--- a/review/standins/Instance.java
+++ b/review/standins/Instance.java
@@ -136,7 +136,8 @@
       return;
     }
     if (requestId == null) {
-      connection.write("HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      connection.write(
+          "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       return;
     }
     String expected = request.header("x-expect-instance");
