--- a/review/standins/StoreReturns.java
+++ b/review/standins/StoreReturns.java
@@ -28,7 +28,7 @@
       Instance instance = new Instance("i-" + i, "lookups", "a", 2, record);
       harness.store.put(instance.key(), instance.entry("ready"));
     }
-    int rounds = 2;
+    int rounds = 4;
     Link link = new Link(harness.store.address(), harness.freePort());
     harness.storeAddress = link.address();
     harness.store.put(
