Report changes of early pages to the other VMs

Cause: a report from the VM that reads the store claims to be complete between two revisions, but was built from what the last response changed in the reader's own table. What the reader had taken from earlier pages of the same read, from a read that failed half-way, or from a page newer than the first one was missing. The other VMs took the report for a confirmation, so they did not read the store themselves. Ruled out: lost reports and stale readers, since all VMs had recent confirmations.

Change: ItemTable keeps the items that are newer than its revision, and a complete response returns both what changed for this VM and what changed since the revision. The second list is reported.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -256,7 +256,7 @@
           if (response instanceof SourceResponse.Snapshot) {
             calls.onReadEnd();
           }
-          List<SourceItem> changed =
+          ItemTable.Update update =
               response instanceof SourceResponse.Snapshot snapshot
                   ? table.applySnapshot(snapshot.items(), snapshot.revision())
                   : table.applyChanges(
@@ -264,15 +264,16 @@
                       ((SourceResponse.Changes) response).revision());
           recordConfirmation();
           if (isConfirmation) {
-            notifyOfConfirmed(changed);
+            notifyOfConfirmed(update.changed());
           } else if (usesUnconfirmed) {
-            notifyListener(changed);
+            notifyListener(update.changed());
           }
-          if (!changed.isEmpty() && response instanceof SourceResponse.Changes) {
+          if (!update.changed().isEmpty() && response instanceof SourceResponse.Changes) {
             calls.pause(settings.changePause());
           }
           if (from != ItemTable.NO_REVISION) {
-            reports.add(new ItemsReport(false, from, table.revision(), changed));
+            // Other VMs lack what this one has used already from the first pages of a read.
+            reports.add(new ItemsReport(false, from, table.revision(), update.sinceRevision()));
           }
         });
     try {
@@ -405,9 +406,9 @@
         lock.call(
             () -> {
               if (report.complete()) {
-                List<SourceItem> all = table.applySnapshot(report.items(), report.revision());
+                ItemTable.Update update = table.applySnapshot(report.items(), report.revision());
                 recordConfirmation();
-                notifyOfConfirmed(all);
+                notifyOfConfirmed(update.changed());
                 return false;
               }
               if (report.fromRevision() > table.revision()) {
@@ -417,9 +418,9 @@
                 }
                 return due;
               }
-              List<SourceItem> changed = table.applyChanges(report.items(), report.revision());
+              ItemTable.Update update = table.applyChanges(report.items(), report.revision());
               recordConfirmation();
-              notifyOfConfirmed(changed);
+              notifyOfConfirmed(update.changed());
               return false;
             });
     effects.drain();
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemTable.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,8 +20,24 @@
   public static final long NO_REVISION = -1;
 
   private final Map<String, SourceItem> items = new HashMap<>();
+
+  /**
+   * Items newer than the revision, from the first pages of a read that goes on or has failed, or
+   * from a page that is newer than the first one.
+   */
+  private final Map<String, SourceItem> newerThanRevision = new LinkedHashMap<>();
+
   private long revision = NO_REVISION;
 
+  /**
+   * Result of a complete response of the source.
+   *
+   * @param changed items that differ from those known before
+   * @param sinceRevision items that changed after the revision before; a superset of the changed
+   *     ones, since some may have been known before they were complete
+   */
+  public record Update(List<SourceItem> changed, List<SourceItem> sinceRevision) {}
+
   /**
    * Returns the revision up to which the items are complete.
    *
@@ -56,11 +73,11 @@
    *
    * @param all the items
    * @param at revision of the set
-   * @return the items that have changed
+   * @return the changes
    */
-  public List<SourceItem> applySnapshot(List<SourceItem> all, long at) {
+  public Update applySnapshot(List<SourceItem> all, long at) {
     if (at < revision) {
-      return List.of();
+      return new Update(List.of(), List.of());
     }
     Set<String> present = new HashSet<>();
     List<SourceItem> changed = new ArrayList<>();
@@ -73,8 +90,7 @@
         addIfNewer(changed, new SourceItem(known.key(), Optional.empty(), at));
       }
     }
-    revision = at;
-    return changed;
+    return completeUpTo(at, changed);
   }
 
   /**
@@ -82,13 +98,20 @@
    *
    * @param changes changed and removed items
    * @param at revision up to which they are complete
-   * @return the items that have changed
+   * @return the changes
    */
-  public List<SourceItem> applyChanges(List<SourceItem> changes, long at) {
+  public Update applyChanges(List<SourceItem> changes, long at) {
     List<SourceItem> changed = new ArrayList<>();
     changes.forEach(item -> addIfNewer(changed, item));
-    revision = Math.max(revision, at);
-    return changed;
+    return completeUpTo(Math.max(revision, at), changed);
+  }
+
+  private Update completeUpTo(long at, List<SourceItem> changed) {
+    Map<String, SourceItem> sinceRevision = new LinkedHashMap<>(newerThanRevision);
+    changed.forEach(item -> sinceRevision.put(item.key(), item));
+    revision = at;
+    newerThanRevision.values().removeIf(item -> item.revision() <= at);
+    return new Update(changed, List.copyOf(sinceRevision.values()));
   }
 
   private void addIfNewer(List<SourceItem> changed, SourceItem item) {
@@ -100,6 +123,9 @@
         : known.revision() < item.revision()
             || (sameRevisionRemoved && known.value().isPresent())) {
       items.put(item.key(), item);
+      if (item.revision() > revision) {
+        newerThanRevision.put(item.key(), item);
+      }
       changed.add(item);
     }
   }
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
@@ -18,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.PeerDispatcher;
@@ -50,6 +51,7 @@
     private List<SourceItem> staleItems = List.of();
     private long staleRevision;
     private boolean sendsPartialSnapshot;
+    private int readsFailingAfterFirstPage;
     private boolean sendsUnreadableChanges;
     private boolean neverResponds;
     private boolean throwsException;
@@ -77,8 +79,13 @@
           if (sendsPartialSnapshot) {
             later(vm, Duration.ofMillis(4), () -> onResponse.accept(partialSnapshot()), onResponse);
           }
+          if (readsFailingAfterFirstPage > 0) {
+            readsFailingAfterFirstPage--;
+            response = new SourceResponse.Unavailable("reset between two pages");
+          }
+          SourceResponse last = response;
           Duration delay = sendsPartialSnapshot ? Duration.ofSeconds(1) : Duration.ofMillis(4);
-          later(vm, delay, () -> onResponse.accept(response), onResponse);
+          later(vm, delay, () -> onResponse.accept(last), onResponse);
         }
 
         @Override
@@ -333,6 +340,27 @@
     assertAllReplicas(Map.of("config", "3"));
   }
 
+  /**
+   * A reader that reads all items in pages uses the early pages at once. The other VMs must get
+   * what is on these pages too, also if the read fails between two pages and is repeated. They are
+   * cut off from the source, so that no read of their own hides a lost change.
+   */
+  @ParameterizedTest
+  @CsvSource({"2, 0", "6, 0", "6, 1", "6, 2"})
+  void changesOnEarlyPagesReachAllVms(int vms, int failingReads) {
+    source.put("servers/i-1", "a");
+    start(vms);
+    source.sendsPartialSnapshot = true;
+    source.readsFailingAfterFirstPage = failingReads;
+    source.put("config", "2");
+    source.put("servers/i-1", "b");
+    source.oldestRevision = source.revision;
+    names.stream().skip(1).forEach(name -> source.cutOff.put(name, true));
+    Duration readTime = Duration.ofMillis(1_300);
+    scheduler.advance(PROPAGATION_LIMIT.plus(readTime.multipliedBy(failingReads)));
+    assertAllReplicas(Map.of("config", "2", "servers/i-1", "b"));
+  }
+
   @Test
   void startingVmWithoutSourceReadsFromPeers() {
     source.cutOff.put(new VmId("vm-4"), true);
