--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -55,6 +55,7 @@
   private boolean caughtUp;
   private boolean closed;
   private boolean sourceLost;
+  private String lastFailure = "";
   private Deadline nextInquiry;
   private Deadline recoveryWindowEnd;
   private boolean isWithheld;
@@ -317,6 +318,7 @@
     counters.add("source.failures", 1);
     List<VmId> knownPeers = peers.get();
     boolean[] sendInquiry = new boolean[1];
+    boolean[] isOtherFailure = new boolean[1];
     boolean newlyLost =
         lock.call(
             () -> {
@@ -332,6 +334,8 @@
               }
               boolean first = !sourceLost;
               sourceLost = true;
+              isOtherFailure[0] = !detail.equals(lastFailure);
+              lastFailure = detail;
               return first;
             });
     if (newlyLost) {
@@ -341,6 +345,9 @@
           LogField.of("detail", detail),
           LogField.of("revision", revision()),
           LogField.of("age_ms", ageMillis()));
+    } else if (isOtherFailure[0]) {
+      // Tells a source that refuses calls from calls that do not leave this VM.
+      eventLog.record(EventLog.Level.INFO, "source_failure_changed", LogField.of("detail", detail));
     }
     if (sendInquiry[0] && !knownPeers.isEmpty()) {
       // A VM without items requests them from a peer; newer items follow from the source.
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
@@ -2,15 +2,10 @@
 
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpClient;
-import io.servicetalk.http.netty.HttpClients;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
-import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 import io.servicetalk.transport.api.IoExecutor;
-import io.servicetalk.transport.api.ServiceTalkSocketOptions;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -34,8 +29,8 @@
  * Pool of the connections of this VM to all backend servers.
  *
  * <p>Each connection carries one request at a time and returns to the pool only after a complete
- * response. ServiceTalk supplies the connections only; its load balancing and its retries are
- * disabled, since the engine decides about both.
+ * response. ServiceTalk supplies the connections only; the engine decides about instances and
+ * retries.
  */
 public final class BackendConnectionPool implements AutoCloseable {
   /**
@@ -204,18 +199,8 @@
   }
 
   private StreamingHttpClient newClient(SocketEndpoint endpoint) {
-    var builder =
-        HttpClients.forResolvedAddress(new InetSocketAddress(endpoint.host(), endpoint.port()));
-    IoExecutor threads = ioExecutor;
-    if (threads != null) {
-      builder.ioExecutor(threads);
-    }
-    return builder
+    return DirectClients.builder(endpoint, settings.connectTimeout(), ioExecutor)
         .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
-        .executionStrategy(HttpExecutionStrategies.offloadNone())
-        .socketOption(
-            ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) settings.connectTimeout().toMillis())
-        .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
         .buildStreaming();
   }
 
--- /dev/null
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
@@ -0,0 +1,66 @@
+package org.kumquatvane.http;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.servicetalk.http.api.ReservedStreamingHttpConnection;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.testing.SimulatedClock;
+
+/**
+ * Guards against connections that the pool does not open, or hands out although they are closed.
+ */
+class BackendConnectionPoolTest {
+  private static final long LIMIT_SECONDS = 60;
+  private static final int MAXIMUM_CONNECTIONS = 100;
+  private static final BackendConnectionSettings SETTINGS =
+      new BackendConnectionSettings(
+          Duration.ofSeconds(10), Duration.ofSeconds(8), Duration.ofSeconds(6));
+
+  /**
+   * An instance that is back must get the next connection attempt, however many have failed: the
+   * HTTP library used to fail all attempts for some seconds more without making them.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 5, 20})
+  void nextAttemptReachesReturnedInstance(int failedAttempts) throws Exception {
+    int port;
+    try (ServerSocket free = listen(0)) {
+      port = free.getLocalPort();
+    }
+    SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", port);
+    try (BackendConnectionPool pool =
+        new BackendConnectionPool(new SimulatedClock(), SETTINGS, null)) {
+      for (int i = 0; i < failedAttempts; i++) {
+        Future<ReservedStreamingHttpConnection> refused = open(pool, endpoint);
+        assertThrows(ExecutionException.class, () -> refused.get(LIMIT_SECONDS, TimeUnit.SECONDS));
+      }
+      try (ServerSocket returned = listen(port)) {
+        assertNotNull(
+            open(pool, endpoint).get(LIMIT_SECONDS, TimeUnit.SECONDS), returned::toString);
+      }
+    }
+  }
+
+  private static ServerSocket listen(int port) throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    return socket;
+  }
+
+  private static Future<ReservedStreamingHttpConnection> open(
+      BackendConnectionPool pool, SocketEndpoint endpoint) {
+    return pool.open(endpoint, MAXIMUM_CONNECTIONS).orElseThrow().toFuture();
+  }
+}
--- /dev/null
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.kumquatvane.http;
+
+import org.jspecify.annotations.NullMarked;
