Notice callers that disconnect while their requests are processed

Cause: with -Dio.netty.transport.noNative=true Netty reports the end of a stream only to a channel that reads, and ServiceTalk does not read between the end of a request and the end of its response. The process tests ran the binary without that option and passed. Ruled out: that the VM notices and does not cancel, since its counter of abandoned requests did not rise.

Change: DisconnectDetector keeps one read open from the end of the request on, and holds back what it returns until ServiceTalk reads again, within a budget for the VM. PlatformFleet runs the command of the deploy file.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/CallerServer.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/CallerServer.java
@@ -18,6 +18,7 @@
 import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.http.internal.CallerByteGuard;
 import org.kumquatvane.http.internal.CallerService;
+import org.kumquatvane.http.internal.DisconnectDetector;
 import org.kumquatvane.http.internal.ReloadingKeyManager;
 import org.kumquatvane.http.internal.SingleKeyManagerFactory;
 
@@ -71,9 +72,11 @@
       if (settings.protocol() != CallerProtocol.HTTP2) {
         // HTTP/2 limits the list of fields itself.
         CallerByteGuard guard = new CallerByteGuard(decoderLimit);
+        DisconnectDetector.Installer detectors = new DisconnectDetector.Installer();
         builder.appendLateConnectionAcceptor(
             connection -> {
               guard.install(connection);
+              detectors.install(connection);
               return Completable.completed();
             });
       }
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CallerService.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CallerService.java
@@ -73,6 +73,7 @@
           refuse(context, request, responses, invalid.requestId(), invalid.refusal()));
     }
     CallerRequest valid = ((RequestHeadResult.Valid) head).request();
+    watchAfterBody(context, request);
     SingleSource.Processor<StreamingHttpResponse, StreamingHttpResponse> responseProcessor =
         Processors.newSingleProcessor();
     PendingRequest pending =
@@ -96,6 +97,19 @@
     }
   }
 
+  /** Notices a disconnect from the end of the request on; before it, the body ends early. */
+  private static void watchAfterBody(HttpServiceContext context, StreamingHttpRequest request) {
+    DisconnectDetector.of(context)
+        .ifPresent(
+            detector -> {
+              if (BodyFraming.hasBody(request.headers())) {
+                request.transformPayloadBody(body -> body.afterOnComplete(detector::watch));
+              } else {
+                detector.watch();
+              }
+            });
+  }
+
   private StreamingHttpResponse refuse(
       HttpServiceContext context,
       StreamingHttpRequest request,
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
@@ -19,6 +19,7 @@
 import org.kumquatvane.platform.trial.InstanceStandIn;
 import org.kumquatvane.platform.trial.StoreStandIn;
 import org.kumquatvane.verification.process.Conditions;
+import org.kumquatvane.verification.process.DeployedCommand;
 import org.kumquatvane.verification.process.Ports;
 
 /**
@@ -112,23 +113,33 @@
     return settings("reloaded", vm, seed.peerPort);
   }
 
-  /** Starts a VM as a shell does below nohup. */
+  /** Starts a VM with the launcher, as a shell does below nohup. */
   Vm startVmIgnoringHangUp() throws IOException {
+    assertTrue(Files.isExecutable(BINARY), BINARY + " is missing; run mvn -DskipTests package");
     Vm vm = createVm();
-    start(vm, List.of("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\""));
+    start(
+        vm,
+        List.of(
+            "sh",
+            "-c",
+            "trap '' HUP; exec \"$0\" \"$@\"",
+            BINARY.toString(),
+            "entry",
+            "--settings",
+            vm.settings.toAbsolutePath().toString()));
     return vm;
   }
 
   void start(Vm vm) throws IOException {
-    start(vm, List.of());
+    start(vm, DeployedCommand.withSettings(vm.settings));
   }
 
-  private void start(Vm vm, List<String> prefix) throws IOException {
-    assertTrue(Files.isExecutable(BINARY), BINARY + " is missing; run mvn -DskipTests package");
-    List<String> command = new ArrayList<>(prefix);
-    command.addAll(List.of(BINARY.toString(), "entry", "--settings", vm.settings.toString()));
-    ProcessBuilder builder = new ProcessBuilder(command);
-    builder.environment().put("JAVA_TOOL_OPTIONS", "-Xmx128m");
+  private static void start(Vm vm, List<String> command) throws IOException {
+    ProcessBuilder builder =
+        new ProcessBuilder(command).directory(DeployedCommand.DIRECTORY.toFile());
+    builder
+        .environment()
+        .put("KUMQUATVANE_JAVA_OPTIONS", String.join(" ", DeployedCommand.runtimeOptions()));
     vm.process =
         builder
             .redirectErrorStream(true)
@@ -180,6 +191,7 @@
           "rows":[["look-ups","127.0.0.1","/lookups/","safe",%2$d,1,1,"sessions",2],
                   ["bookings","127.0.0.1","%3$s","unsafe",%2$d,1,0,"sessions",2],
                   ["faulty","127.0.0.1","/faulty/","safe",%2$d,1,1,"faulty",2],
+                  ["patient","127.0.0.1","/patient/","safe",3600,1,1,"faulty",1],
                   ["faulty-bookings","127.0.0.1","/faulty-bookings/","unsafe",%2$d,1,1,"faulty",2]]},
          "services":{"columns":["name","healthPath","maxConnections","protocol","tls"],
           "rows":[["sessions","/healthz",330,"h1",false],["faulty","/healthz",330,"h1",false]]},
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
@@ -49,6 +49,11 @@
     return runningResponses.get();
   }
 
+  /** Returns the number of connections that neither side has closed. */
+  int openConnections() {
+    return connections.size();
+  }
+
   String storeEntry(String service, int slots) {
     return """
         {"service":"%s","address":"127.0.0.1:%d","zone":"a","concurrency":%d,"state":"ready"}
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
@@ -68,7 +68,7 @@
   }
 
   /** Closes the connection with a reset. */
-  void reset() throws IOException {
+  public void reset() throws IOException {
     socket.setSoLinger(true, 0);
     socket.close();
   }
