Release the body of an abandoned request

The memory that is reserved for a request's body was kept for good if the caller disconnected before a response: some 130 such requests with bodies of 99 KB fill the 12 MB of a VM, which then refuses every body as overloaded. While disconnects went unnoticed this hardly showed.

Cause: the reservation is returned by a refusal, a replay or a delivery, and an abandoned request has none of them.

Change: Exchange.abandon, called when a request ends without a response.

Measured: RequestEngineTest.releasesExchangeWhenCallerDisconnects (queued and running) and GoneCallersProcessTest.abandonedBodiesAreReleased, which abandons 150 requests of 99 KB and needs 200 for the next one, pass.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/Exchange.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/Exchange.java
@@ -4,8 +4,8 @@
 
 /**
  * One caller request as seen by the engine. A front end implements it together with its client of
- * the backend servers. Exactly one call of {@link #refuse}, {@link #replay} or {@link
- * Attempt#deliver} ends the exchange.
+ * the backend servers. Exactly one call of {@link #refuse}, {@link #replay}, {@link #abandon} or
+ * {@link Attempt#deliver} ends the exchange.
  */
 public interface Exchange {
   /**
@@ -22,6 +22,9 @@
    */
   void replay(RecordedResponse response);
 
+  /** Releases what the request holds; its caller has left, so there is no response. */
+  void abandon();
+
   /**
    * Starts an attempt without blocking.
    *
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -359,6 +359,7 @@
     dependencies.counters().add("requests.abandoned", 1);
     operation.finish(mayHaveRun ? new OperationResult.Unknown() : new OperationResult.NotRun());
     if (end()) {
+      exchange.abandon();
       requestLog.logEnd("request_abandoned", attemptsMade, LogField.of("may_have_run", mayHaveRun));
     }
   }
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.kumquatvane.core.AttemptFailure;
 import org.kumquatvane.core.ExecutionStatus;
 import org.kumquatvane.core.Reason;
@@ -191,6 +192,21 @@
     assertTrue(fixture.instances.status().stream().allMatch(status -> status.slotsInUse() == 0));
   }
 
+  /** Guards against bodies that stay in memory after their callers disconnect. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void releasesExchangeWhenCallerDisconnects(boolean isQueued) {
+    if (isQueued) {
+      fixture.lookUp(new ScriptedExchange());
+      fixture.lookUp(new ScriptedExchange());
+    }
+    RunningRequest running = fixture.lookUp(exchange);
+    running.onCallerDisconnected();
+
+    assertEquals(isQueued, exchange.attempts().isEmpty());
+    assertTrue(exchange.isAbandoned());
+  }
+
   /** Guards against requests that wait longer than their caller does. */
   @Test
   void refusesQueuedRequestAtItsDeadline() {
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
@@ -17,6 +17,7 @@
   private @Nullable Refusal refusal;
   private @Nullable RecordedResponse replayed;
   private int deliveredStatus;
+  private boolean abandoned;
 
   ScriptedExchange thenRespond(int status) {
     return then(attempt -> attempt.respond(new ResponseHead(status, false, false)));
@@ -40,6 +41,11 @@
     refusal = received;
   }
 
+  @Override
+  public void abandon() {
+    abandoned = true;
+  }
+
   @Override
   public void replay(RecordedResponse response) {
     replayed = response;
@@ -64,6 +70,10 @@
     return Optional.ofNullable(refusal);
   }
 
+  boolean isAbandoned() {
+    return abandoned;
+  }
+
   Optional<RecordedResponse> replayed() {
     return Optional.ofNullable(replayed);
   }
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/gray/SimulatedExchange.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/gray/SimulatedExchange.java
@@ -47,6 +47,11 @@
     }
   }
 
+  @Override
+  public void abandon() {
+    // Simulated callers do not leave.
+  }
+
   @Override
   public void replay(RecordedResponse response) {
     throw new AssertionError("no operation is recorded");
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HttpExchange.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HttpExchange.java
@@ -109,6 +109,11 @@
     respond.accept(dialect.createRefusal(responses, allocator, requestId, refusal));
   }
 
+  @Override
+  public void abandon() {
+    releaseBody();
+  }
+
   @Override
   public void replay(RecordedResponse recorded) {
     releaseBody();
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/GoneCallersProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/GoneCallersProcessTest.java
@@ -9,18 +9,23 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.kumquatvane.verification.process.CallerConnection;
 import org.kumquatvane.verification.process.Conditions;
 
 /**
- * Guards against work that goes on, or begins, after its caller has left. Deadlines are an hour
- * away, so only the leaving ends a request.
+ * Guards against work that goes on, or begins, after its caller has left, and against memory that
+ * abandoned requests keep. Deadlines are an hour away, so only the leaving ends a request.
  */
 class GoneCallersProcessTest {
   private static final int READ_TIMEOUT_MILLIS = 90_000;
   private static final String TARGET = "/patient/1";
+  private static final int LARGE_BODY_BYTES = 99_000;
+
+  /** Requests whose bodies together exceed the memory for buffered bodies, 12 MB. */
+  private static final int REQUESTS_BEYOND_BUDGET = 150;
 
   private PlatformFleet fleet;
   private RawInstance instance;
@@ -116,4 +121,20 @@
     String work = fleet.getFromOperator(fleet.vm(0), "/v1/work").body();
     return Integer.parseInt(work.replaceAll("(?s).*\"requestsInFlight\"\\s*:\\s*(\\d+).*", "$1"));
   }
+
+  /** Requests that were abandoned must not use up the memory for the bodies of later ones. */
+  @Test
+  void abandonedBodiesAreReleased() throws Exception {
+    listInstance(2);
+    for (int i = 0; i < REQUESTS_BEYOND_BUDGET; i++) {
+      CallerConnection caller = sendAndAwaitArrival("abandoned-" + i, LARGE_BODY_BYTES);
+      leave(caller, "close");
+      Conditions.await(
+          "the request is abandoned", () -> instance.openConnections() == 0, fleet.vm(0)::log);
+    }
+    try (CallerConnection caller = connect()) {
+      caller.write(request("/lookups/1", "later", LARGE_BODY_BYTES));
+      assertEquals(200, caller.readResponse().status(), fleet.vm(0)::log);
+    }
+  }
 }
