Read from idle connections to instances

An instance that closes an idle connection, or sends a late second copy of a response on it, was noticed only when the next request was sent on that connection; an unsafe request was then lost or failed.

ServiceTalk does not read from an idle connection, and the NIO transport reports nothing to a channel that does not read.

Change: ResponseByteGuard keeps a read open on idle connections and closes one that ends or sends bytes; closed ones are not handed out.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
@@ -124,6 +124,7 @@
     Deadline closeAt = Deadline.after(clock, idleTimeout);
     Deadline nonRetryableUntil =
         Deadline.after(clock, settings.nonRetryableIdleLimit()).earliest(closeAt);
+    ResponseByteGuard.of(connection).ifPresent(ResponseByteGuard::watchIdle);
     lock.run(() -> connectionSet(endpoint).addIdle(connection, nonRetryableUntil, closeAt));
   }
 
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ConnectionSet.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ConnectionSet.java
@@ -2,6 +2,7 @@
 
 import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -35,7 +36,7 @@
       ReservedStreamingHttpConnection connection, Deadline nonRetryableUntil, Deadline closeAt) {}
 
   /**
-   * Takes the most recently used idle connection and removes expired ones.
+   * Takes the most recently used idle connection and removes expired and closed ones.
    *
    * @param clock clock of the idle deadlines
    * @param forNonRetryable whether the connection must be usable for a request that is not
@@ -49,12 +50,21 @@
       expired.add(idle.removeFirst().connection());
       openCount--;
     }
+    while (!idle.isEmpty() && !isOpen(idle.getLast().connection())) {
+      expired.add(idle.removeLast().connection());
+      openCount--;
+    }
     if (forNonRetryable && !idle.isEmpty() && idle.getLast().nonRetryableUntil().isReached(clock)) {
       return Optional.empty();
     }
     return Optional.ofNullable(idle.pollLast()).map(Idle::connection);
   }
 
+  private static boolean isOpen(ReservedStreamingHttpConnection connection) {
+    return !(connection.connectionContext() instanceof NettyConnectionContext context)
+        || context.nettyChannel().isActive();
+  }
+
   /**
    * Counts a connection that is about to be opened, unless the maximum is reached.
    *
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
@@ -5,15 +5,20 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Closes the connection to a backend server that sends bytes which belong to no response: bytes
  * that arrive while no request waits, such as a late second copy of a response, and bytes without
  * end that the HTTP decoder would collect, such as a head that never ends.
+ *
+ * <p>It reads from idle connections, which ServiceTalk does not: Netty's NIO transport reports
+ * neither such bytes nor the end of a connection to a channel that does not read.
  */
 public final class ResponseByteGuard extends ChannelInboundHandlerAdapter {
   /**
@@ -34,6 +39,7 @@
 
   private volatile boolean expectsResponse;
   private volatile int bytesWithoutProgress;
+  private volatile @Nullable ChannelHandlerContext context;
 
   private ResponseByteGuard() {}
 
@@ -55,13 +61,31 @@
     }
   }
 
-  /** Returns the guard of a connection; empty if the connection is closed. */
-  static Optional<ResponseByteGuard> of(ReservedStreamingHttpConnection connection) {
+  /**
+   * Returns the guard of a connection.
+   *
+   * @param connection the connection
+   * @return the guard, or empty if the connection is closed
+   */
+  public static Optional<ResponseByteGuard> of(ReservedStreamingHttpConnection connection) {
     return connection.connectionContext() instanceof NettyConnectionContext context
         ? Optional.ofNullable(context.nettyChannel().pipeline().get(ResponseByteGuard.class))
         : Optional.empty();
   }
 
+  /** Reads until a request is sent, to notice the end of an idle connection. */
+  public void watchIdle() {
+    ChannelHandlerContext current = context;
+    if (current != null) {
+      current.read();
+    }
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
   /** Called before a request is sent. */
   void onRequest() {
     bytesWithoutProgress = 0;
@@ -91,4 +115,12 @@
     }
     super.channelRead(context, message);
   }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext current, Object event) throws Exception {
+    if (event == ChannelInputShutdownEvent.INSTANCE && !expectsResponse) {
+      current.close();
+    }
+    super.userEventTriggered(current, event);
+  }
 }
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -8,7 +9,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -52,6 +56,31 @@
     }
   }
 
+  /**
+   * An idle connection that the instance has closed, or on which it has sent bytes that belong to
+   * no response, must not carry the next request. An unsafe request would be lost on it.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"})
+  void unusableIdleConnectionIsNotReused(String lateBytes) throws Exception {
+    try (ServerSocket instance = listen(0);
+        BackendConnectionPool pool =
+            new BackendConnectionPool(new SimulatedClock(), SETTINGS, null)) {
+      SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", instance.getLocalPort());
+      Future<ReservedStreamingHttpConnection> opening = open(pool, endpoint);
+      try (Socket accepted = instance.accept()) {
+        ReservedStreamingHttpConnection connection = opening.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        pool.release(endpoint, connection, Optional.empty());
+        accepted.getOutputStream().write(lateBytes.getBytes(StandardCharsets.US_ASCII));
+        if (lateBytes.isEmpty()) {
+          accepted.close();
+        }
+        connection.onClose().toFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(Optional.empty(), pool.acquireIdle(endpoint, true));
+      }
+    }
+  }
+
   private static ServerSocket listen(int port) throws IOException {
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
