Answer all requests before the end of a planned stop

Cause: the time at which a stopping VM closes its connections was not a deadline of its requests. They waited until their own deadlines, retries could start shortly before the end, and nothing but the HTTP server kept late requests out.

Change: RequestEngine.stop limits all deadlines to the end of the VM. What can no longer start is refused as not run, an attempt gets its time up to the end and its caller a 504, and late arrivals are refused.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/RequestEngine.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/RequestEngine.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -32,8 +34,18 @@
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile Map<ServiceName, Service> services = Map.of();
   private volatile Map<WorkspaceId, Integer> priorities = Map.of();
+  private final Set<RequestFlow> flows = ConcurrentHashMap.newKeySet();
+  private volatile @Nullable StopSchedule stopSchedule;
   private volatile boolean configured;
 
+  /**
+   * Times of a planned stop.
+   *
+   * @param lastArrival time from which on requests are refused
+   * @param end time by which all requests have ended
+   */
+  private record StopSchedule(Deadline lastArrival, Deadline end) {}
+
   /**
    * Creates an engine without services.
    *
@@ -70,6 +82,9 @@
     if (!configured) {
       return denied(Reason.NOT_READY, "no document is in force yet");
     }
+    if (refusesArrivals()) {
+      return denied(Reason.NOT_READY, "this VM stops");
+    }
     RouteMatch match =
         dependencies.routes().match(request.host(), request.method(), request.path());
     Optional<WorkspaceId> workspace = workspace(request.key());
@@ -124,6 +139,11 @@
     return priorities.getOrDefault(workspace, route.traffic().priority());
   }
 
+  private boolean refusesArrivals() {
+    StopSchedule stop = stopSchedule;
+    return stop != null && stop.lastArrival().isReached(dependencies.clock());
+  }
+
   private static Deadline deadline(CallerRequest request, Route route) {
     Duration allowed =
         request
@@ -158,12 +178,33 @@
       return () -> {};
     }
     RequestFlow flow =
-        new RequestFlow(
-            dependencies, dispatcher, request, body, exchange, inFlight::decrementAndGet);
+        new RequestFlow(dependencies, dispatcher, request, body, exchange, this::onEnd);
+    flows.add(flow);
+    StopSchedule stop = stopSchedule;
+    if (stop != null) {
+      flow.endBy(stop.end());
+    }
     flow.start();
     return flow;
   }
 
+  private void onEnd(RequestFlow flow) {
+    flows.remove(flow);
+    inFlight.decrementAndGet();
+  }
+
+  /**
+   * Prepares a planned stop. Each request gets its answer before the end: one that can no longer
+   * start in time is refused, and one at an instance is given up at the end.
+   *
+   * @param lastArrival time from which on requests are refused
+   * @param end time by which all requests have ended; earlier than the end of the process
+   */
+  public void stop(Deadline lastArrival, Deadline end) {
+    stopSchedule = new StopSchedule(lastArrival, end);
+    flows.forEach(flow -> flow.endBy(end));
+  }
+
   private boolean isStillGranted(AuthorizedRequest request) {
     if (!request.hasWorkspace()) {
       return true;
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
@@ -62,16 +62,16 @@
     responseCaptured = captureResponse;
     Deadline attemptDeadline = flow.attemptDeadline(reservation);
     deadlineTask =
-        attemptDeadline.compareTo(request.deadline()) < 0
+        attemptDeadline.compareTo(flow.deadline()) < 0
             ? dependencies.scheduler().schedule(attemptDeadline, this::onEarlyDeadline)
-            : dependencies.scheduler().schedule(request.deadline(), this::onRequestDeadline);
+            : dependencies.scheduler().schedule(flow.deadline(), this::onRequestDeadline);
     Attempt started =
         exchange.startAttempt(
             new AttemptPlan(
                 request.head().id(),
                 reservation.instance(),
                 request.workspace(),
-                request.deadline(),
+                flow.deadline(),
                 dependencies.connectionShare().connectionsPerInstance(request.service()),
                 flow.retryable(),
                 captureResponse),
@@ -90,7 +90,7 @@
     }
     Optional<RetryDecision.Retry> retry = flow.decideEarlyRetry(AttemptFailure.TIMED_OUT);
     if (retry.isEmpty()) {
-      deadlineTask = dependencies.scheduler().schedule(request.deadline(), this::onRequestDeadline);
+      deadlineTask = dependencies.scheduler().schedule(flow.deadline(), this::onRequestDeadline);
       if (outcomeDecided.get()) {
         cancelDeadlineTask();
       }
@@ -102,7 +102,8 @@
     }
   }
 
-  private void onRequestDeadline() {
+  /** Ends the attempt without a response, unless its outcome is decided. */
+  void onRequestDeadline() {
     if (outcomeDecided.compareAndSet(false, true)) {
       cancelAttempt();
       endWithFailure(AttemptFailure.TIMED_OUT, false, AttemptOutcome.Kind.TIMED_OUT);
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
 import org.kumquatvane.core.Deadline;
@@ -44,7 +45,7 @@
   private final SlotDispatcher dispatcher;
   private final AuthorizedRequest request;
   private final Exchange exchange;
-  private final Runnable onEnd;
+  private final Consumer<RequestFlow> onEnd;
   private final RequestFingerprint fingerprint;
   private final Deadline mayWaitUntil;
   private final RequestLog requestLog;
@@ -55,6 +56,7 @@
   private final Set<InstanceId> triedInstances = ConcurrentHashMap.newKeySet();
   private volatile @Nullable AttemptHandler currentAttempt;
   private volatile boolean callerDisconnected;
+  private volatile Deadline deadline;
   private int attemptsMade;
   private boolean mayHaveRun;
 
@@ -74,12 +76,13 @@
       AuthorizedRequest request,
       BodyDescription body,
       Exchange exchange,
-      Runnable onEnd) {
+      Consumer<RequestFlow> onEnd) {
     this.dependencies = dependencies;
     this.dispatcher = dispatcher;
     this.request = request;
     this.exchange = exchange;
     this.onEnd = onEnd;
+    deadline = request.deadline();
     fingerprint = Fingerprints.of(request, body);
     requestLog = new RequestLog(dependencies, request);
     operation = new OperationTracker(dependencies, request, body);
@@ -186,9 +189,10 @@
     return request.workspace();
   }
 
+  /** The deadline of the request, or the earlier end of this VM. */
   @Override
   public Deadline deadline() {
-    return request.deadline();
+    return deadline;
   }
 
   @Override
@@ -216,8 +220,53 @@
   public void onDeadlineExpired() {
     wait.end();
     refuse(
-        refusalWithExecutionStatus(
-            Reason.DEADLINE_PASSED_WAITING, "the deadline passed in the queue"));
+        isLimitedByStop()
+            ? refusalBecauseOfStop()
+            : refusalWithExecutionStatus(
+                Reason.DEADLINE_PASSED_WAITING, "the deadline passed in the queue"));
+  }
+
+  /**
+   * Ends the request before its deadline, since this VM stops. While it waits, it is refused when a
+   * start is no longer useful; an attempt may go on until the end.
+   *
+   * @param end time by which the request must have ended
+   */
+  public void endBy(Deadline end) {
+    deadline = request.deadline().earliest(end);
+    if (!isLimitedByStop()) {
+      return;
+    }
+    dependencies
+        .scheduler()
+        .schedule(
+            dependencies.queue().latestUsefulStart(request.service().name(), this),
+            this::onQueueTimeout);
+    dependencies.scheduler().schedule(end, this::onStop);
+  }
+
+  private void onStop() {
+    AttemptHandler attempt = currentAttempt;
+    if (attempt != null) {
+      attempt.onRequestDeadline();
+    }
+  }
+
+  private boolean isLimitedByStop() {
+    return deadline.compareTo(request.deadline()) < 0;
+  }
+
+  /** Whether an attempt that starts now would be cut off by the end of this VM. */
+  private boolean isStopTooNear() {
+    return isLimitedByStop()
+        && dependencies
+            .queue()
+            .latestUsefulStart(request.service().name(), this)
+            .isReached(dependencies.clock());
+  }
+
+  private Refusal refusalBecauseOfStop() {
+    return refusalWithExecutionStatus(Reason.NOT_READY, "this VM stops");
   }
 
   @Override
@@ -263,12 +312,9 @@
       dependencies.crashGuard().recordInstanceLoss(fingerprint, instance);
     }
     RetryDecision decision = rules.decideRetry(failure, attemptsMade);
-    requestLog.logAttemptFailure(
-        attemptsMade,
-        failure,
-        instanceGone,
-        decision instanceof RetryDecision.Retry ? "retry" : "end");
-    if (decision instanceof RetryDecision.Retry retry && !callerDisconnected) {
+    boolean retries = decision instanceof RetryDecision.Retry && !isStopTooNear();
+    requestLog.logAttemptFailure(attemptsMade, failure, instanceGone, retries ? "retry" : "end");
+    if (retries && decision instanceof RetryDecision.Retry retry && !callerDisconnected) {
       dependencies.counters().count(retry.reason());
       dependencies.scheduler().schedule(retry.notBefore(), this::retry);
     } else if (callerDisconnected) {
@@ -310,6 +356,10 @@
       abandon();
       return;
     }
+    if (isStopTooNear()) {
+      refuse(refusalBecauseOfStop());
+      return;
+    }
     Optional<Reservation> other =
         dependencies
             .instances()
@@ -398,7 +448,7 @@
     if (!ended.compareAndSet(false, true)) {
       return false;
     }
-    onEnd.run();
+    onEnd.accept(this);
     return true;
   }
 }
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
@@ -102,6 +102,10 @@
       return cancelled;
     }
 
+    void fail(AttemptFailure failure) {
+      listener.onFailure(failure, false);
+    }
+
     void respond(ResponseHead received) {
       head = received;
       listener.onResponseHead(this, received);
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
@@ -48,6 +48,9 @@
   /** Part of the stop grace period reserved for the exit of the process. */
   private static final Duration EXIT_TIME = Duration.ofMillis(400);
 
+  /** Time between the last answer of a stopping VM and the close of its connections. */
+  private static final Duration ANSWER_TIME = Duration.ofMillis(100);
+
   /** Maximum size of a request head; the configurations allow 16 KB. */
   private static final int MAXIMUM_HEAD_BYTES = 16_384;
 
@@ -224,6 +227,11 @@
         EventLog.Level.INFO,
         "drain_started",
         LogField.of("in_flight", decisions.engine().inFlight()));
+    decisions
+        .engine()
+        .stop(
+            Deadline.after(runtime.clock(), DRAIN_NOTICE),
+            new Deadline(deadline.nanos() - ANSWER_TIME.toNanos()));
     fleet.membership().leave();
     Pause.sleep(DRAIN_NOTICE);
     boolean complete =
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -49,6 +49,9 @@
   /** Time for which the departure announcement is repeated, in case a message is lost. */
   private static final Duration DEPARTURE_NOTICE_TIME = Duration.ofMillis(1_500);
 
+  /** Time between the last answer of a stopping VM and the close of its connections. */
+  private static final Duration ANSWER_TIME = Duration.ofMillis(100);
+
   private final Settings settings;
   private final ProcessRuntime runtime;
   private final AtomicBoolean draining = new AtomicBoolean();
@@ -196,6 +199,11 @@
     Deadline deadline = Deadline.after(runtime.clock(), settings.drain().drainDeadline());
     draining.set(true);
     runtime.eventLog().record(EventLog.Level.INFO, "drain_started");
+    decisions
+        .engine()
+        .stop(
+            Deadline.after(runtime.clock(), settings.drain().drainNotice()),
+            new Deadline(deadline.nanos() - ANSWER_TIME.toNanos()));
     Pause.sleep(settings.drain().drainNotice());
     boolean complete =
         callers.closeGracefully(Duration.ofNanos(deadline.remainingNanos(runtime.clock())));
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
@@ -31,11 +31,15 @@
   private static final Path BINARY = Path.of("..", "target", "kumquatvane").toAbsolutePath();
   private static final int EXIT_LIMIT_SECONDS = 90;
 
+  /** Long enough for all requests on a slow machine. */
+  private static final int STOP_GRACE_SECONDS = 60;
+
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final StoreStandIn store = new StoreStandIn();
   private final List<InstanceStandIn> instances = new ArrayList<>();
   private final List<Vm> vms = new ArrayList<>();
+  private final int stopGraceSeconds;
   private int version;
 
   /** One process. */
@@ -76,6 +80,11 @@
   }
 
   PlatformFleet(int vmCount, int instanceCount) throws IOException {
+    this(vmCount, instanceCount, STOP_GRACE_SECONDS);
+  }
+
+  PlatformFleet(int vmCount, int instanceCount, int stopGraceSeconds) throws IOException {
+    this.stopGraceSeconds = stopGraceSeconds;
     for (int i = 0; i < instanceCount; i++) {
       InstanceStandIn instance = new InstanceStandIn("i-" + i, "sessions");
       instances.add(instance);
@@ -157,11 +166,18 @@
           "vmName": "%s", "failureDomain": "a",
           "callerAddress": "127.0.0.1:%d", "operatorAddress": "127.0.0.1:%d",
           "peerAddress": "127.0.0.1:%d", "seeds": ["127.0.0.1:%d"],
-          "sourceAddress": "127.0.0.1:%d", "stopGraceSeconds": 60,
+          "sourceAddress": "127.0.0.1:%d", "stopGraceSeconds": %d,
           "retryBudget": {"fixed": 400}, "fleetSecret": "platform-test-secret", "assertions": true
         }
         """
-        .formatted(name, vm.callerPort, vm.operatorPort, vm.peerPort, seed, store.port());
+        .formatted(
+            name,
+            vm.callerPort,
+            vm.operatorPort,
+            vm.peerPort,
+            seed,
+            store.port(),
+            stopGraceSeconds);
   }
 
   void awaitReady(Vm vm) {
