Return to an instance on a new connection

An instance that refuses a request, runs it when it comes again and writes the earlier refusal once more on the kept connection made the VM tell the caller that the request had not run (a report of another operator).

Cause: both attempts of a request bear the same id, so the echoed id does not tell a late copy from the answer. Both could use one connection once all other instances had been tried.

Change: an attempt at an instance that was sent the request before opens a new connection. At the maximum of connections the oldest idle one makes room; the attempt failed as connect_failed before.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
@@ -58,7 +58,7 @@
     startedNanos = dependencies.clock().monotonicNanos();
   }
 
-  void start(Exchange exchange, boolean captureResponse) {
+  void start(Exchange exchange, boolean captureResponse, boolean needsNewConnection) {
     responseCaptured = captureResponse;
     Deadline attemptDeadline = flow.attemptDeadline(reservation);
     deadlineTask =
@@ -74,7 +74,8 @@
                 flow.deadline(),
                 dependencies.connectionShare().connectionsPerInstance(request.service()),
                 flow.retryable(),
-                captureResponse),
+                captureResponse,
+                needsNewConnection),
             this);
     attempt = started;
     // The deadline may have passed or the caller disconnected before the attempt was stored.
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -295,11 +295,11 @@
       dependencies.counters().add("attempts.logical_requests", 1);
     }
     dependencies.counters().add("attempts.started", 1);
-    triedInstances.add(reservation.instance().id());
+    boolean isRepeated = !triedInstances.add(reservation.instance().id());
     requestLog.setReservation(reservation);
     AttemptHandler handler = new AttemptHandler(this, dependencies, request, reservation);
     currentAttempt = handler;
-    handler.start(exchange, operation.isRecording());
+    handler.start(exchange, operation.isRecording(), isRepeated);
     if (callerDisconnected) {
       onCallerDisconnected();
     }
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
@@ -93,8 +93,10 @@
    */
   public Optional<Single<ReservedStreamingHttpConnection>> open(
       SocketEndpoint endpoint, int maximumConnections) {
+    List<ReservedStreamingHttpConnection> expired = new ArrayList<>();
     Optional<StreamingHttpClient> client =
-        lock.call(() -> connectionSet(endpoint).tryCountOpening(maximumConnections));
+        lock.call(() -> connectionSet(endpoint).tryCountOpening(maximumConnections, expired));
+    expired.forEach(BackendConnectionPool::close);
     return client.map(
         opener ->
             opener
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -81,7 +81,9 @@
 
   void start() {
     Optional<ReservedStreamingHttpConnection> idle =
-        connections.acquireIdle(endpoint, plan.retryable());
+        plan.needsNewConnection()
+            ? Optional.empty()
+            : connections.acquireIdle(endpoint, plan.retryable());
     if (idle.isPresent()) {
       send(idle.get());
       return;
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ConnectionSet.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ConnectionSet.java
@@ -66,12 +66,19 @@
   }
 
   /**
-   * Counts a connection that is about to be opened, unless the maximum is reached.
+   * Counts a connection that is about to be opened, unless the maximum is reached. An idle one that
+   * the caller cannot use makes room for it.
    *
    * @param maximum maximum number of open connections
+   * @param expired receives the connections to close
    * @return the client that opens it, or empty if the maximum is reached
    */
-  public Optional<StreamingHttpClient> tryCountOpening(int maximum) {
+  public Optional<StreamingHttpClient> tryCountOpening(
+      int maximum, List<ReservedStreamingHttpConnection> expired) {
+    if (openCount >= maximum && !idle.isEmpty()) {
+      expired.add(idle.removeFirst().connection());
+      openCount--;
+    }
     if (openCount >= maximum) {
       return Optional.empty();
     }
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
@@ -81,6 +81,23 @@
     }
   }
 
+  /** An idle connection that a request may not use must not keep it from opening its own. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void idleConnectionMakesRoomAtTheMaximum(boolean isIdle) throws Exception {
+    try (ServerSocket instance = listen(0);
+        BackendConnectionPool pool =
+            new BackendConnectionPool(new SimulatedClock(), SETTINGS, null)) {
+      SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", instance.getLocalPort());
+      ReservedStreamingHttpConnection connection =
+          pool.open(endpoint, 1).orElseThrow().toFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+      if (isIdle) {
+        pool.release(endpoint, connection, Optional.empty());
+      }
+      assertEquals(isIdle, pool.open(endpoint, 1).isPresent());
+    }
+  }
+
   private static ServerSocket listen(int port) throws IOException {
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/FaultyInstanceProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/FaultyInstanceProcessTest.java
@@ -201,7 +201,8 @@
 
   /**
    * Many instances at once send bytes without end. Each caller gets a failure or a response that is
-   * visibly broken off, all connections are closed, and the VM, with a heap of 128 MB, serves on.
+   * visibly broken off, all connections are closed, and the VM, with the heap of the deploy file,
+   * serves on.
    */
   @ParameterizedTest
   @EnumSource(EndlessBytes.class)
