Heed an instance's announcements in its responses

An announced leaving excludes the instance at once and for good, also if it drops out of the list and returns; a process that starts again under its name is another instance. That another process answered at its address is a mark of its own and still expires. Requests that wait are refused as not run when the last instance of their service has left. Each announcement has a counter and a log line.

instanceThatRemainsListedIsUsedAgain calls markMisdirected, since the mark that expires has that name now; its assertions are unchanged.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/ResponseHead.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/ResponseHead.java
@@ -1,5 +1,8 @@
 package org.kumquatvane.engine;
 
+import java.util.Optional;
+import org.kumquatvane.core.Deadline;
+
 /**
  * The part of a backend server's response head that the engine uses.
  *
@@ -7,9 +10,14 @@
  * @param notRun whether the backend server reports that it did not run the request
  * @param draining whether the instance reports that it is draining
  * @param fromOtherInstance whether another instance responded at the address
+ * @param avoidUntil until when the instance wants no request of this VM, if it says so
  */
 public record ResponseHead(
-    int status, boolean notRun, boolean draining, boolean fromOtherInstance) {
+    int status,
+    boolean notRun,
+    boolean draining,
+    boolean fromOtherInstance,
+    Optional<Deadline> avoidUntil) {
   private static final int FIRST_SERVER_ERROR = 500;
 
   /**
@@ -20,7 +28,7 @@
    * @param draining whether the instance reports that it is draining
    */
   public ResponseHead(int status, boolean notRun, boolean draining) {
-    this(status, notRun, draining, false);
+    this(status, notRun, draining, false, Optional.empty());
   }
 
   /**
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
@@ -3,11 +3,16 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
 import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.EventLog;
+import org.kumquatvane.core.InstanceId;
+import org.kumquatvane.core.LogField;
 import org.kumquatvane.core.Scheduler;
+import org.kumquatvane.core.ServiceName;
 import org.kumquatvane.ejection.AttemptOutcome;
 import org.kumquatvane.engine.Attempt;
 import org.kumquatvane.engine.AttemptListener;
@@ -148,9 +153,7 @@
 
   private void handleResponseHead(Attempt running, ResponseHead head) {
     cancelDeadlineTask();
-    if (head.draining() || head.fromOtherInstance()) {
-      dependencies.instances().markLeaving(request.service().name(), reservation.instance().id());
-    }
+    recordAnnouncements(head);
     if (head.notRun()) {
       running.discardResponse();
       wasShed = true;
@@ -184,6 +187,40 @@
     }
   }
 
+  private void recordAnnouncements(ResponseHead head) {
+    ServiceName service = request.service().name();
+    InstanceId instance = reservation.instance().id();
+    if (head.fromOtherInstance()) {
+      dependencies.instances().markMisdirected(service, instance);
+    } else if (head.draining() && dependencies.instances().markLeaving(service, instance)) {
+      dependencies.counters().add("instances.announced_leaving", 1);
+      logAnnouncement("instance_announced_leaving", LogField.of("status", head.status()));
+    }
+    head.avoidUntil()
+        .ifPresent(
+            until -> {
+              dependencies.instances().avoidUntil(service, instance, until);
+              dependencies.counters().add("instances.asked_to_wait", 1);
+              logAnnouncement(
+                  "instance_asked_to_wait",
+                  LogField.of(
+                      "wait_ms",
+                      TimeUnit.NANOSECONDS.toMillis(until.remainingNanos(dependencies.clock()))));
+            });
+  }
+
+  private void logAnnouncement(String event, LogField detail) {
+    dependencies
+        .eventLog()
+        .record(
+            EventLog.Level.INFO,
+            event,
+            LogField.of("service", request.service().name()),
+            LogField.of("instance", reservation.instance().id()),
+            LogField.of("request", request.head().id()),
+            detail);
+  }
+
   /** Breaks a streamed response off whose end does not arrive, since it would keep its slot. */
   private void limitDelivery() {
     Deadline limit = new Deadline(request.deadline().nanos() + DELIVERY_GRACE.toNanos());
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -13,6 +13,7 @@
 import org.kumquatvane.core.Invariant;
 import org.kumquatvane.core.LogField;
 import org.kumquatvane.core.Reason;
+import org.kumquatvane.core.ServiceName;
 import org.kumquatvane.core.WorkspaceId;
 import org.kumquatvane.ejection.RequestFingerprint;
 import org.kumquatvane.engine.AuthorizedRequest;
@@ -174,10 +175,23 @@
     wait.begin(
         dependencies.queue().latestUsefulStart(request.service().name(), this),
         this::onQueueTimeout,
-        () -> dispatcher.dispatch(request.service().name()));
+        this::recheck);
     dispatcher.dispatch(request.service().name());
   }
 
+  /** Refuses a waiting request at once when the last instance of its service has left. */
+  private void recheck() {
+    ServiceName service = request.service().name();
+    if (dependencies.instances().hasInstance(service)) {
+      dispatcher.dispatch(service);
+    } else if (dependencies.queue().remove(service, this)) {
+      wait.end();
+      refuse(
+          refusalWithExecutionStatus(
+              Reason.NO_INSTANCE, "the instances of service " + service + " have left"));
+    }
+  }
+
   private void onQueueTimeout() {
     if (dependencies.queue().remove(request.service().name(), this)) {
       onDeadlineExpired();
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/EngineFixture.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/EngineFixture.java
@@ -239,8 +239,13 @@
     }
 
     @Override
-    public void markLeaving(ServiceName service, InstanceId instance) {
-      instances.markLeaving(service, instance);
+    public boolean markLeaving(ServiceName service, InstanceId instance) {
+      return instances.markLeaving(service, instance);
+    }
+
+    @Override
+    public void avoidUntil(ServiceName service, InstanceId instance, Deadline until) {
+      instances.avoidUntil(service, instance, until);
     }
 
     @Override
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
@@ -7,15 +7,19 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.kumquatvane.core.AttemptFailure;
+import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.ExecutionStatus;
+import org.kumquatvane.core.InstanceId;
 import org.kumquatvane.core.Reason;
 import org.kumquatvane.limits.LimitDecision;
 import org.kumquatvane.operations.BeginVerdict;
@@ -208,6 +212,43 @@
         exchange.attempts().stream().map(attempt -> attempt.plan().needsNewConnection()).toList());
   }
 
+  /** Guards against requests that wait for instances of which the last one has left. */
+  @Test
+  void refusesWaitingRequestWhenLastInstanceLeaves() {
+    ScriptedExchange first = new ScriptedExchange();
+    ScriptedExchange second = new ScriptedExchange();
+    fixture.lookUp(first);
+    fixture.lookUp(second);
+    fixture.lookUp(exchange);
+
+    first.attempts().get(0).respond(new ResponseHead(200, false, true));
+    assertTrue(exchange.refusal().isEmpty());
+    second.attempts().get(0).respond(new ResponseHead(200, false, true));
+    elapse(Duration.ofMillis(100));
+
+    assertEquals(ExecutionStatus.NOT_RUN, refusal().execution());
+    assertEquals(Reason.NO_INSTANCE, refusal().reason());
+  }
+
+  /** Guards against requests to an instance during the time for which it wants none. */
+  @ParameterizedTest
+  @CsvSource({"999, 1", "1000, 2"})
+  void avoidsInstanceForTheTimeThatItAsksFor(long elapsedMillis, int instances) {
+    Deadline until = Deadline.after(fixture.clock, Duration.ofSeconds(1));
+    ResponseHead asked = new ResponseHead(503, true, false, false, Optional.of(until));
+    fixture.lookUp(new ScriptedExchange().thenRespond(asked).thenRespond(200));
+    elapse(Duration.ofMillis(elapsedMillis));
+
+    Set<InstanceId> used = new HashSet<>();
+    for (int i = 0; i < 10; i++) {
+      ScriptedExchange next = new ScriptedExchange().thenRespond(200);
+      fixture.lookUp(next);
+      next.attempts().forEach(attempt -> used.add(attempt.plan().instance().id()));
+    }
+
+    assertEquals(instances, used.size());
+  }
+
   /** Guards against bodies that stay in memory after their callers disconnect. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/FleetInstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/FleetInstancePool.java
@@ -247,12 +247,28 @@
   }
 
   @Override
-  public void markLeaving(ServiceName service, InstanceId instance) {
+  public boolean markLeaving(ServiceName service, InstanceId instance) {
+    return lock.call(() -> state(service).markLeaving(instance));
+  }
+
+  @Override
+  public void markMisdirected(ServiceName service, InstanceId instance) {
+    lock.run(
+        () -> {
+          InstanceState state = findState(instance);
+          if (state != null) {
+            state.markMisdirected();
+          }
+        });
+  }
+
+  @Override
+  public void avoidUntil(ServiceName service, InstanceId instance, Deadline until) {
     lock.run(
         () -> {
           InstanceState state = findState(instance);
           if (state != null) {
-            state.markLeaving();
+            state.pauseUntil(until);
           }
         });
   }
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstancePool.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.InstanceId;
 import org.kumquatvane.core.ServiceName;
 
@@ -62,12 +63,34 @@
   void update(Collection<Instance> instances);
 
   /**
-   * Marks an instance as leaving because one of its responses indicated it.
+   * Excludes an instance for good because it has announced in a response that it leaves. The mark
+   * ends with the instance: a process that starts again under its name is another one.
    *
    * @param service the service
    * @param instance the instance
+   * @return whether it was not marked before
    */
-  void markLeaving(ServiceName service, InstanceId instance);
+  boolean markLeaving(ServiceName service, InstanceId instance);
+
+  /**
+   * Excludes an instance because another process responded at its address.
+   *
+   * @param service the service
+   * @param instance the instance
+   */
+  default void markMisdirected(ServiceName service, InstanceId instance) {
+    markLeaving(service, instance);
+  }
+
+  /**
+   * Excludes an instance for the time for which it wants no requests of this VM. A shorter time
+   * does not end an exclusion early.
+   *
+   * @param service the service
+   * @param instance the instance
+   * @param until when it can be selected again
+   */
+  void avoidUntil(ServiceName service, InstanceId instance, Deadline until);
 
   /**
    * Returns the state of all instances for operators.
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/TrackedInstancePool.java
@@ -137,14 +137,27 @@
   }
 
   @Override
-  public void markLeaving(ServiceName service, InstanceId instance) {
+  public boolean markLeaving(ServiceName service, InstanceId instance) {
     // Called before the pool's lock is taken, since the lock of the health table has a lower rank.
     health.instanceLeaving(service, instance);
+    return lock.call(
+        () -> {
+          @Nullable InstanceSlots entry = entry(service).instances.get(instance);
+          if (entry == null || entry.markedLeaving) {
+            return false;
+          }
+          entry.markedLeaving = true;
+          return true;
+        });
+  }
+
+  @Override
+  public void avoidUntil(ServiceName service, InstanceId instance, Deadline until) {
     lock.run(
         () -> {
           @Nullable InstanceSlots entry = entry(service).instances.get(instance);
           if (entry != null) {
-            entry.markedLeaving = true;
+            entry.avoidUntil(until);
           }
         });
   }
@@ -228,6 +241,7 @@
     private boolean isTrialDue(InstanceSlots entry) {
       return entry.slotsInUse == 0
           && !entry.isLeaving()
+          && !entry.isAvoided(clock)
           && !excluded.contains(entry.instance.id())
           && eligibility(entry) == Eligibility.TRIAL;
     }
@@ -248,6 +262,7 @@
       return service != null
           && entry.slotsInUse < service.capacity().slots()
           && !entry.isLeaving()
+          && !entry.isAvoided(clock)
           && (excluded.isEmpty() || !excluded.contains(entry.instance.id()))
           && eligibility(entry) == Eligibility.ELIGIBLE;
     }
@@ -296,6 +311,7 @@
     private final long warmUpNanos;
     private int slotsInUse;
     private boolean markedLeaving;
+    private @Nullable Deadline avoidedUntil;
 
     private InstanceSlots(Instance instance, Deadline warmAt, Duration warmUp) {
       this.instance = instance;
@@ -307,6 +323,18 @@
       return markedLeaving || instance.leaving();
     }
 
+    private void avoidUntil(Deadline until) {
+      Deadline known = avoidedUntil;
+      if (known == null || known.compareTo(until) < 0) {
+        avoidedUntil = until;
+      }
+    }
+
+    private boolean isAvoided(Clock clock) {
+      Deadline until = avoidedUntil;
+      return until != null && !until.isReached(clock);
+    }
+
     private double warmUpShare(Clock clock) {
       if (warmAt.isReached(clock)) {
         return 1;
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/InstanceState.java
@@ -48,6 +48,7 @@
   private final RepeatedFailures peerFailures;
   private Instance instance;
   private @Nullable Deadline leavingUntil;
+  private boolean hasAnnouncedLeaving;
   private @Nullable Deadline pausedUntil;
   private Reservation.SelectionSnapshot snapshot = Reservation.SelectionSnapshot.NONE;
   private long lastResponseNanos;
@@ -80,14 +81,25 @@
   }
 
   /**
-   * Marks the instance as leaving because a response from its address indicated it. If the list
-   * does not confirm it within {@link #LEAVING_CONFIRMATION_TIME}, the response was wrong or came
-   * from another process, and the mark expires.
+   * Marks the instance as leaving because another process responded at its address. If the list
+   * does not confirm it within {@link #LEAVING_CONFIRMATION_TIME}, the response came from a wrong
+   * connection, and the mark expires.
    */
-  public void markLeaving() {
+  public void markMisdirected() {
     leavingUntil = Deadline.after(clock, LEAVING_CONFIRMATION_TIME);
   }
 
+  /**
+   * Marks the instance as leaving because it has announced so itself.
+   *
+   * @return whether it was not marked before
+   */
+  public boolean markLeaving() {
+    boolean isNew = !hasAnnouncedLeaving;
+    hasAnnouncedLeaving = true;
+    return isNew;
+  }
+
   /**
    * Returns whether the list or a response marks the instance as leaving.
    *
@@ -95,7 +107,7 @@
    */
   public boolean isLeaving() {
     Deadline until = leavingUntil;
-    return instance.leaving() || (until != null && !until.isReached(clock));
+    return instance.leaving() || hasAnnouncedLeaving || (until != null && !until.isReached(clock));
   }
 
   boolean isCold() {
@@ -184,12 +196,15 @@
   }
 
   /**
-   * Excludes the instance from selection for a time.
+   * Excludes the instance from selection for a time; a shorter time does not end it early.
    *
    * @param until when it can be selected again
    */
   public void pauseUntil(Deadline until) {
-    pausedUntil = until;
+    Deadline paused = pausedUntil;
+    if (paused == null || paused.compareTo(until) < 0) {
+      pausedUntil = until;
+    }
   }
 
   boolean hasNoFreeSlot(int slots) {
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceState.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/internal/ServiceState.java
@@ -63,6 +63,9 @@
 
   private static final double STALE_EVIDENCE_SECONDS = 0.7;
 
+  /** Far more than the instances of a service that leave while VMs still hear of them. */
+  private static final int MAXIMUM_ANNOUNCED = 1_000;
+
   /** Failure probability above which exploration is too likely to fail to be informative. */
   private static final double MAXIMUM_EXPLORED_RISK = 0.45;
 
@@ -72,6 +75,10 @@
   private final SubsetAssignment subsets;
   private final ServiceLatency latency = new ServiceLatency();
   private final Map<InstanceId, InstanceState> instances = new HashMap<>();
+
+  /** Instances that have announced their leaving, also those that are not listed at present. */
+  private final Map<InstanceId, Instance> announced = new BoundedMap<>(MAXIMUM_ANNOUNCED);
+
   private List<InstanceState> instanceStates = List.of();
   private int defaultSlots = 1;
   private int localInstances;
@@ -115,7 +122,7 @@
       present.add(instance.id());
       InstanceState known = instances.get(instance.id());
       if (known == null || !isSameProcess(known.instance(), instance)) {
-        instances.put(instance.id(), new InstanceState(instance, latency, clock));
+        instances.put(instance.id(), newState(instance));
       } else {
         known.setInstance(instance);
       }
@@ -125,6 +132,31 @@
     localInstances = (int) instanceStates.stream().filter(this::isLocal).count();
   }
 
+  private InstanceState newState(Instance instance) {
+    InstanceState created = new InstanceState(instance, latency, clock);
+    Instance leaving = announced.get(instance.id());
+    if (leaving != null && isSameProcess(leaving, instance)) {
+      created.markLeaving();
+    }
+    return created;
+  }
+
+  /**
+   * Marks an instance as leaving because it has announced so itself. The mark outlasts a time in
+   * which the instance is not listed.
+   *
+   * @param id its name
+   * @return whether it was not marked before
+   */
+  public boolean markLeaving(InstanceId id) {
+    InstanceState state = instances.get(id);
+    if (state == null) {
+      return false;
+    }
+    announced.put(id, state.instance());
+    return state.markLeaving();
+  }
+
   private static boolean isSameProcess(Instance known, Instance newest) {
     return known.endpoint().equals(newest.endpoint())
         && known.incarnation() == newest.incarnation();
--- a/kumquatvane-selection/src/test/java/org/kumquatvane/selection/FleetInstancePoolTest.java
+++ b/kumquatvane-selection/src/test/java/org/kumquatvane/selection/FleetInstancePoolTest.java
@@ -1,6 +1,7 @@
 package org.kumquatvane.selection;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -237,20 +238,65 @@
     assertTrue(!pools.get(0).hasInstance(SERVICE));
   }
 
-  /**
-   * A draining response from another process at the instance's address excluded the instance on
-   * this VM permanently.
-   */
+  /** A response from another process at the address must not exclude the instance for good. */
   @Test
   void instanceThatRemainsListedIsUsedAgain() {
     startFleet(1, instance("rota-1", "a"));
-    pools.get(0).markLeaving(SERVICE, new InstanceId("rota-1"));
+    pools.get(0).markMisdirected(SERVICE, new InstanceId("rota-1"));
     scheduler.advance(Duration.ofSeconds(4));
     assertTrue(reserve(0, true).isEmpty());
     scheduler.advance(Duration.ofSeconds(2));
     assertTrue(reserve(0, true).isPresent());
   }
 
+  /**
+   * An instance that has announced its leaving must get nothing, whatever the list says of it; a
+   * process that starts again under its name is another instance.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 1, false", "false, 1, false", "true, 2, true", "false, 2, true"})
+  void announcedLeavingOutlastsTheList(boolean staysListed, long incarnation, boolean isUsed) {
+    startFleet(1, process("rota-1", 1));
+    InstanceId leaving = new InstanceId("rota-1");
+    assertTrue(pools.get(0).markLeaving(SERVICE, leaving));
+    assertFalse(pools.get(0).markLeaving(SERVICE, leaving));
+    scheduler.advance(Duration.ofSeconds(60));
+    if (!staysListed) {
+      pools.get(0).update(List.of());
+    }
+    pools.get(0).update(List.of(process("rota-1", incarnation)));
+    assertEquals(isUsed, reserve(0, true).isPresent());
+    assertEquals(isUsed, pools.get(0).hasInstance(SERVICE));
+  }
+
+  private static Instance process(String id, long incarnation) {
+    return new Instance(
+        new InstanceId(id),
+        SERVICE,
+        new SocketEndpoint("127.0.0.1", 6001),
+        new FailureDomain("a"),
+        false,
+        2,
+        incarnation,
+        Optional.empty());
+  }
+
+  /** A later and shorter time must not bring requests to an instance that wants none. */
+  @ParameterizedTest
+  @CsvSource({"2000, 500, 1999, false", "2000, 500, 2000, true", "500, 2000, 1999, false"})
+  void instanceIsAvoidedUntilTheLatestTime(
+      long firstMillis, long secondMillis, long elapsedMillis, boolean isUsed) {
+    startFleet(1, instance("rota-1", "a"));
+    for (long millis : List.of(firstMillis, secondMillis)) {
+      pools
+          .get(0)
+          .avoidUntil(
+              SERVICE, new InstanceId("rota-1"), Deadline.after(clock, Duration.ofMillis(millis)));
+    }
+    scheduler.advance(Duration.ofMillis(elapsedMillis));
+    assertEquals(isUsed, reserve(0, true).isPresent());
+  }
+
   /** A VM that was killed must not occupy slots permanently. */
   @Test
   void attemptsOfUnreachableVmsExpire() {
