Run the soak with the command of the deploy file

The soak and the process tests ran the binary with other options than the deployment, which hid that disconnects of callers went unnoticed.

Change: SoakVm runs the command of the deploy file, and the tests reset the reload signal that nohup ignores, as the launcher does. soak.sh no longer asks Maven to work offline, which failed on a machine whose cache lacked a test library.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/DeployedCommand.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/DeployedCommand.java
@@ -21,6 +21,9 @@
   private static final String PROGRAM = "java";
   private static final String JAR_OPTION = "-jar";
 
+  /** Undoes nohup around the tests, below which a Java runtime never gets the reload signal. */
+  private static final List<String> DEFAULT_SIGNALS = List.of("env", "--default-signal=HUP");
+
   private DeployedCommand() {}
 
   /**
@@ -31,13 +34,24 @@
    * @throws IOException if the deploy file cannot be read
    */
   public static List<String> withSettings(Path settings) throws IOException {
-    List<String> words = new ArrayList<>();
+    List<String> words = new ArrayList<>(supportsDefaultSignals() ? DEFAULT_SIGNALS : List.of());
     for (String word : words()) {
       words.add(word.equals(SETTINGS_FILE) ? settings.toAbsolutePath().toString() : word);
     }
     return words;
   }
 
+  private static boolean supportsDefaultSignals() throws IOException {
+    List<String> check = new ArrayList<>(DEFAULT_SIGNALS);
+    check.add("true");
+    try {
+      return new ProcessBuilder(check).start().waitFor() == 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
   /**
    * Returns the options of the Java runtime.
    *
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakVm.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakVm.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import org.kumquatvane.verification.process.DeployedCommand;
 import org.kumquatvane.verification.process.FaultProxy;
 import org.kumquatvane.verification.process.Ports;
 
@@ -13,8 +14,6 @@
  * fault proxies.
  */
 final class SoakVm implements AutoCloseable {
-  private static final Path BINARY = Path.of("..", "target", "kumquatvane").toAbsolutePath();
-
   /** Time from SIGTERM to SIGKILL; the platform allows six seconds. */
   static final int STOP_GRACE_SECONDS = 6;
 
@@ -68,11 +67,9 @@
       return;
     }
     Files.writeString(settings, settingsText(seedPort));
-    ProcessBuilder builder =
-        new ProcessBuilder(BINARY.toString(), "entry", "--settings", settings.toString());
-    builder.environment().put("JAVA_TOOL_OPTIONS", "-Xmx96m -Xss256k -XX:+UseSerialGC");
     process =
-        builder
+        new ProcessBuilder(DeployedCommand.withSettings(settings))
+            .directory(DeployedCommand.DIRECTORY.toFile())
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
             .start();
--- a/soak.sh
+++ b/soak.sh
@@ -3,5 +3,5 @@
 set -eu
 cd "$(dirname "$0")"
 [ -x target/kumquatvane ] || mvn -B -q -DskipTests package
-mvn -o -B -q -pl kumquatvane-verification -am test -Dtest=FaultSoakTest -Dsurefire.failIfNoSpecifiedTests=false \
+mvn -B -q -pl kumquatvane-verification -am test -Dtest=FaultSoakTest -Dsurefire.failIfNoSpecifiedTests=false \
   -Dsoak.seeds="${1:-1-5}" -Dsoak.seconds="${2:-12}" -Dsoak.vms="${3:-3}" -Dsoak.instances="${4:-5}"
