--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -259,6 +259,7 @@
     dependencies.scheduler().schedule(end, this::onStop);
   }
 
+  /** Gives up the running attempt; a request without one is refused by its queue timeout. */
   private void onStop() {
     AttemptHandler attempt = currentAttempt;
     if (attempt != null) {
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
@@ -116,6 +116,7 @@
     super.channelRead(context, message);
   }
 
+  /** Closes an idle connection at the end of its input, for which ServiceTalk keeps it open. */
   @Override
   public void userEventTriggered(ChannelHandlerContext current, Object event) throws Exception {
     if (event == ChannelInputShutdownEvent.INSTANCE && !expectsResponse) {
