Log the connection, the status read and extra bytes of each attempt

The log could not tell the hypotheses of the incident apart: it had the status passed on, but neither the one read nor the connection.

Change: lines of a request bear connection, connection_requests, status_read, declared_bytes and body_bytes of the last attempt, and status is the one that the caller gets. ResponseScanner finds the end of each response beside the HTTP decoder; bytes after it, or bytes that are no valid response, are logged as extra_bytes_received with their position and counted. Nothing else is decided by it yet.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/Attempt.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/Attempt.java
@@ -23,4 +23,11 @@
    * @param listener notified when the delivery ends
    */
   void deliver(int attempts, DeliveryListener listener);
+
+  /**
+   * Returns what is known of the connection and the response so far.
+   *
+   * @return the trace; {@link AttemptTrace#NONE} before a connection is used
+   */
+  AttemptTrace trace();
 }
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/DeliveryListener.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/DeliveryListener.java
@@ -3,8 +3,18 @@
 import java.util.Optional;
 import org.kumquatvane.operations.RecordedResponse;
 
-/** Notified exactly once, on any thread, when the delivery of a response to the caller ends. */
+/**
+ * Notified, on any thread, of the delivery of a response to the caller: once when it begins, and
+ * exactly once when it ends.
+ */
 public interface DeliveryListener {
+  /**
+   * The response head is about to be sent.
+   *
+   * @param status status that the caller gets
+   */
+  void onHeadDelivered(int status);
+
   /**
    * The complete response was received from the backend server.
    *
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/AttemptHandler.java
@@ -17,6 +17,7 @@
 import org.kumquatvane.engine.Attempt;
 import org.kumquatvane.engine.AttemptListener;
 import org.kumquatvane.engine.AttemptPlan;
+import org.kumquatvane.engine.AttemptTrace;
 import org.kumquatvane.engine.AuthorizedRequest;
 import org.kumquatvane.engine.DeliveryListener;
 import org.kumquatvane.engine.EngineDependencies;
@@ -127,6 +128,12 @@
     }
   }
 
+  /** Returns what is known of the attempt's connection and response. */
+  AttemptTrace trace() {
+    Attempt running = attempt;
+    return running == null ? AttemptTrace.NONE : running.trace();
+  }
+
   private void cancelAttempt() {
     cancelled = true;
     Attempt running = attempt;
@@ -180,7 +187,6 @@
               request.route().id(),
               Duration.ofNanos(dependencies.clock().monotonicNanos() - startedNanos));
     }
-    responseStatus = head.status();
     running.deliver(flow.attemptsMade(), this);
     if (!running.isReceived()) {
       limitDelivery();
@@ -237,6 +243,11 @@
     }
   }
 
+  @Override
+  public void onHeadDelivered(int status) {
+    responseStatus = status;
+  }
+
   @Override
   public void onCompleted(Optional<RecordedResponse> captured) {
     dependencies
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestFlow.java
@@ -311,8 +311,8 @@
     }
     dependencies.counters().add("attempts.started", 1);
     boolean isRepeated = !triedInstances.add(reservation.instance().id());
-    requestLog.setReservation(reservation);
     AttemptHandler handler = new AttemptHandler(this, dependencies, request, reservation);
+    requestLog.setAttempt(reservation, handler::trace);
     currentAttempt = handler;
     handler.start(exchange, operation.isRecording(), isRepeated);
     if (callerDisconnected) {
--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestLog.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestLog.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LogField;
+import org.kumquatvane.engine.AttemptTrace;
 import org.kumquatvane.engine.AuthorizedRequest;
 import org.kumquatvane.engine.EngineDependencies;
 import org.kumquatvane.selection.Reservation;
@@ -20,15 +22,17 @@
   private final EngineDependencies dependencies;
   private final AuthorizedRequest request;
   private volatile @Nullable Reservation lastReservation;
+  private volatile Supplier<AttemptTrace> lastTrace = () -> AttemptTrace.NONE;
 
   RequestLog(EngineDependencies dependencies, AuthorizedRequest request) {
     this.dependencies = dependencies;
     this.request = request;
   }
 
-  /** Sets the reservation of the next attempt. */
-  void setReservation(Reservation reservation) {
+  /** Sets the reservation of the next attempt and the source of its trace. */
+  void setAttempt(Reservation reservation, Supplier<AttemptTrace> trace) {
     lastReservation = reservation;
+    lastTrace = trace;
   }
 
   /** Logs how the request ended. */
@@ -59,6 +63,7 @@
     fields.add(LogField.of("idempotent", request.route().idempotent()));
     fields.add(LogField.of("attempts", attempts));
     addInstanceFields(fields);
+    addTraceFields(fields);
     fields.add(LogField.of("total_ms", toMillis(now - request.head().arrivalNanos())));
     fields.add(LogField.of("left_ms", toMillis(request.deadline().nanos() - now)));
     fields.addAll(List.of(outcome));
@@ -77,6 +82,21 @@
     }
   }
 
+  /** Adds the connection and the response of the last attempt, if it had a connection. */
+  private void addTraceFields(List<LogField> fields) {
+    AttemptTrace trace = lastTrace.get();
+    if (trace.connection() == 0) {
+      return;
+    }
+    fields.add(LogField.of("connection", trace.connection()));
+    fields.add(LogField.of("connection_requests", trace.requestsOnConnection()));
+    fields.add(LogField.of("status_read", trace.status()));
+    trace
+        .declaredBytes()
+        .ifPresent(declared -> fields.add(LogField.of("declared_bytes", declared)));
+    fields.add(LogField.of("body_bytes", trace.bodyBytes()));
+  }
+
   private static long toMillis(long nanos) {
     return TimeUnit.NANOSECONDS.toMillis(nanos);
   }
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
@@ -130,10 +131,18 @@
     @Override
     public void discardResponse() {}
 
+    @Override
+    public AttemptTrace trace() {
+      ResponseHead received = head;
+      return new AttemptTrace(
+          1, 1, received == null ? 0 : received.status(), OptionalLong.empty(), 0);
+    }
+
     @Override
     public void deliver(int attemptsMade, DeliveryListener delivery) {
       ResponseHead received = head;
       deliveredStatus = received == null ? 0 : received.status();
+      delivery.onHeadDelivered(deliveredStatus);
       if (isStreamed) {
         return;
       }
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/gray/SimulatedExchange.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/gray/SimulatedExchange.java
@@ -8,6 +8,7 @@
 import org.kumquatvane.engine.Attempt;
 import org.kumquatvane.engine.AttemptListener;
 import org.kumquatvane.engine.AttemptPlan;
+import org.kumquatvane.engine.AttemptTrace;
 import org.kumquatvane.engine.DeliveryListener;
 import org.kumquatvane.engine.Exchange;
 import org.kumquatvane.engine.Refusal;
@@ -155,6 +156,11 @@
     @Override
     public void discardResponse() {}
 
+    @Override
+    public AttemptTrace trace() {
+      return AttemptTrace.NONE;
+    }
+
     @Override
     public void deliver(int attempts, DeliveryListener deliveryListener) {
       if (!delivered) {
@@ -163,6 +169,7 @@
           simulation.result.wastedSlotNanos -= slotNanos;
           recordEnd(!isError);
         }
+        deliveryListener.onHeadDelivered(isError ? SERVER_ERROR : OK);
         deliveryListener.onCompleted(Optional.empty());
       }
     }
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
@@ -44,6 +45,8 @@
   private final Clock clock;
   private final BackendConnectionSettings settings;
   private final @Nullable IoExecutor ioExecutor;
+  private final ExtraBytesListener extraBytes;
+  private final AtomicLong connectionCount = new AtomicLong();
 
   /**
    * Creates an empty pool.
@@ -51,21 +54,17 @@
    * @param clock clock of the idle deadlines
    * @param settings timeouts of the connections
    * @param ioExecutor I/O threads, or null for the default ones of ServiceTalk
+   * @param extraBytes notified of bytes that belong to no response
    */
   public BackendConnectionPool(
-      Clock clock, BackendConnectionSettings settings, @Nullable IoExecutor ioExecutor) {
+      Clock clock,
+      BackendConnectionSettings settings,
+      @Nullable IoExecutor ioExecutor,
+      ExtraBytesListener extraBytes) {
     this.clock = clock;
     this.settings = settings;
     this.ioExecutor = ioExecutor;
-  }
-
-  /**
-   * Creates an empty pool with the standard timeouts.
-   *
-   * @param clock clock of the idle deadlines
-   */
-  public BackendConnectionPool(Clock clock) {
-    this(clock, BackendConnectionSettings.STANDARD, null);
+    this.extraBytes = extraBytes;
   }
 
   /**
@@ -101,10 +100,14 @@
         opener ->
             opener
                 .reserveConnection(opener.get("/"))
-                .beforeOnSuccess(ResponseByteGuard::install)
+                .beforeOnSuccess(opened -> installGuard(endpoint, opened))
                 .beforeOnError(failure -> countClosed(endpoint)));
   }
 
+  private void installGuard(SocketEndpoint endpoint, ReservedStreamingHttpConnection opened) {
+    ResponseByteGuard.install(opened, endpoint, connectionCount.incrementAndGet(), extraBytes);
+  }
+
   /**
    * Returns a connection to the pool after a complete response.
    *
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -16,6 +16,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
@@ -24,6 +25,7 @@
 import org.kumquatvane.engine.Attempt;
 import org.kumquatvane.engine.AttemptListener;
 import org.kumquatvane.engine.AttemptPlan;
+import org.kumquatvane.engine.AttemptTrace;
 import org.kumquatvane.engine.DeliveryListener;
 import org.kumquatvane.engine.Refusal;
 import org.kumquatvane.engine.ResponseHead;
@@ -54,6 +56,7 @@
   private final SocketEndpoint endpoint;
   private final AttemptListener listener;
   private final AtomicBoolean connectionEnded = new AtomicBoolean();
+  private final AtomicLong bodyBytes = new AtomicLong();
   private volatile @Nullable ReservedStreamingHttpConnection connection;
   private volatile @Nullable StreamingHttpResponse response;
   private volatile @Nullable Cancellable pending;
@@ -65,6 +68,9 @@
 
   private volatile boolean isReceived;
 
+  /** Number of this request on its connection. */
+  private volatile int requestNumber;
+
   BackendAttempt(
       HttpExchange exchange,
       BackendConnectionPool connections,
@@ -108,7 +114,11 @@
       return;
     }
     guard = ResponseByteGuard.of(opened);
-    guard.ifPresent(ResponseByteGuard::onRequest);
+    guard.ifPresent(
+        used -> {
+          used.onRequest(exchange.isHeadRequest());
+          requestNumber = used.requestCount();
+        });
     long remainingMillis =
         TimeUnit.NANOSECONDS.toMillis(plan.deadline().nanos() - System.nanoTime());
     subscribe(
@@ -274,6 +284,21 @@
     discardConnection();
   }
 
+  @Override
+  public AttemptTrace trace() {
+    StreamingHttpResponse received = response;
+    return guard
+        .map(
+            used ->
+                new AttemptTrace(
+                    used.connectionNumber(),
+                    requestNumber,
+                    received == null ? 0 : received.status().code(),
+                    received == null ? OptionalLong.empty() : declaredLength(received),
+                    bodyBytes.get()))
+        .orElse(AttemptTrace.NONE);
+  }
+
   @Override
   public void deliver(int attempts, DeliveryListener delivery) {
     StreamingHttpResponse received = response;
@@ -291,7 +316,7 @@
             this::onBodyCompleted,
             this::onBodyFailed);
     try {
-      exchange.deliver(received, attempts, relay);
+      exchange.deliver(received, attempts, relay, delivery);
     } catch (RuntimeException failure) {
       // Without a response the caller would wait until its timeout.
       relay.drainUnlessSubscribed();
@@ -308,6 +333,7 @@
   }
 
   private void onBodyPart(Buffer part) {
+    bodyBytes.addAndGet(part.readableBytes());
     guard.ifPresent(ResponseByteGuard::onProgress);
   }
 
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HttpExchange.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/HttpExchange.java
@@ -22,6 +22,7 @@
 import org.kumquatvane.engine.Attempt;
 import org.kumquatvane.engine.AttemptListener;
 import org.kumquatvane.engine.AttemptPlan;
+import org.kumquatvane.engine.DeliveryListener;
 import org.kumquatvane.engine.Exchange;
 import org.kumquatvane.engine.Refusal;
 import org.kumquatvane.engine.RunningRequest;
@@ -172,10 +173,16 @@
    * @param upstream response of the backend server
    * @param attempts number of attempts made
    * @param delivering forwards the body
+   * @param listener notified when the head is passed on
    */
-  void deliver(StreamingHttpResponse upstream, int attempts, ResponseRelay delivering) {
+  void deliver(
+      StreamingHttpResponse upstream,
+      int attempts,
+      ResponseRelay delivering,
+      DeliveryListener listener) {
     StreamingHttpResponse response = responses.newResponse(upstream.status());
     dialect.prepareResponse(upstream, response, requestId, attempts);
+    listener.onHeadDelivered(response.status().code());
     Publisher<Buffer> bytes = defer(delivering::subscribeOnce);
     relay = delivering;
     respond.accept(response.payloadBody(bytes));
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/IgnoringDeliveryListener.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/IgnoringDeliveryListener.java
@@ -6,6 +6,9 @@
 
 /** Listener for responses that are discarded. */
 final class IgnoringDeliveryListener implements DeliveryListener {
+  @Override
+  public void onHeadDelivered(int status) {}
+
   @Override
   public void onCompleted(Optional<RecordedResponse> captured) {}
 
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
@@ -10,7 +10,11 @@
 import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
+import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.http.ExtraBytes;
+import org.kumquatvane.http.ExtraBytesListener;
 
 /**
  * Closes the connection to a backend server that sends bytes which belong to no response: bytes
@@ -37,18 +41,35 @@
   private static final int MINIMUM_READ_BYTES = 512;
   private static final int INITIAL_READ_BYTES = 2 << 10;
 
+  private final SocketEndpoint server;
+  private final long connectionNumber;
+  private final ExtraBytesListener listener;
+  private final AtomicInteger requestCount = new AtomicInteger();
   private volatile boolean expectsResponse;
   private volatile int bytesWithoutProgress;
+  private volatile ResponseScanner scanner = new ResponseScanner(false);
   private volatile @Nullable ChannelHandlerContext context;
 
-  private ResponseByteGuard() {}
+  private ResponseByteGuard(
+      SocketEndpoint server, long connectionNumber, ExtraBytesListener listener) {
+    this.server = server;
+    this.connectionNumber = connectionNumber;
+    this.listener = listener;
+  }
 
   /**
    * Installs a guard on a new connection.
    *
    * @param connection the connection
+   * @param server the backend server at its other end
+   * @param connectionNumber number of the connection, unique in the process
+   * @param listener notified of bytes that belong to no response
    */
-  public static void install(ReservedStreamingHttpConnection connection) {
+  public static void install(
+      ReservedStreamingHttpConnection connection,
+      SocketEndpoint server,
+      long connectionNumber,
+      ExtraBytesListener listener) {
     if (connection.connectionContext() instanceof NettyConnectionContext context) {
       Channel channel = context.nettyChannel();
       channel
@@ -57,7 +78,7 @@
               new AdaptiveRecvByteBufAllocator(
                       MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
                   .maxMessagesPerRead(1));
-      channel.pipeline().addFirst(new ResponseByteGuard());
+      channel.pipeline().addFirst(new ResponseByteGuard(server, connectionNumber, listener));
     }
   }
 
@@ -86,9 +107,25 @@
     context = added;
   }
 
-  /** Called before a request is sent. */
-  void onRequest() {
+  /** Returns the number of the connection, unique in the process. */
+  long connectionNumber() {
+    return connectionNumber;
+  }
+
+  /** Returns the number of requests sent on the connection so far. */
+  int requestCount() {
+    return requestCount.get();
+  }
+
+  /**
+   * Called before a request is sent.
+   *
+   * @param isHeadRequest whether its response has no body
+   */
+  void onRequest(boolean isHeadRequest) {
     bytesWithoutProgress = 0;
+    requestCount.incrementAndGet();
+    scanner = new ResponseScanner(isHeadRequest);
     expectsResponse = true;
   }
 
@@ -108,14 +145,37 @@
       int received = bytesWithoutProgress + bytes.readableBytes();
       bytesWithoutProgress = received;
       if (!expectsResponse || received > MAXIMUM_BYTES_WITHOUT_PROGRESS) {
+        report(
+            expectsResponse ? ExtraBytes.Position.WITHOUT_END : ExtraBytes.Position.IDLE,
+            bytes.readableBytes());
         ReferenceCountUtil.release(message);
         context.close();
         return;
       }
+      reportExtraBytes(bytes);
     }
     super.channelRead(context, message);
   }
 
+  private void reportExtraBytes(ByteBuf bytes) {
+    ResponseScanner reading = scanner;
+    int end = bytes.writerIndex();
+    int index = bytes.readerIndex();
+    if (reading.state() == MessageScanner.State.OPEN) {
+      index = reading.scan(bytes, index, end);
+    }
+    if (reading.state() == MessageScanner.State.MALFORMED) {
+      report(ExtraBytes.Position.MALFORMED_RESPONSE, bytes.readableBytes());
+    } else if (index < end) {
+      report(ExtraBytes.Position.AFTER_RESPONSE, end - index);
+    }
+  }
+
+  private void report(ExtraBytes.Position position, int count) {
+    listener.onExtraBytes(
+        new ExtraBytes(server, connectionNumber, requestCount.get(), position, count));
+  }
+
   /** Closes an idle connection at the end of its input, for which ServiceTalk keeps it open. */
   @Override
   public void userEventTriggered(ChannelHandlerContext current, Object event) throws Exception {
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
@@ -44,7 +44,7 @@
     }
     SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", port);
     try (BackendConnectionPool pool =
-        new BackendConnectionPool(new SimulatedClock(), SETTINGS, null)) {
+        new BackendConnectionPool(new SimulatedClock(), SETTINGS, null, extraBytes -> {})) {
       for (int i = 0; i < failedAttempts; i++) {
         Future<ReservedStreamingHttpConnection> refused = open(pool, endpoint);
         assertThrows(ExecutionException.class, () -> refused.get(LIMIT_SECONDS, TimeUnit.SECONDS));
@@ -65,7 +65,7 @@
   void unusableIdleConnectionIsNotReused(String lateBytes) throws Exception {
     try (ServerSocket instance = listen(0);
         BackendConnectionPool pool =
-            new BackendConnectionPool(new SimulatedClock(), SETTINGS, null)) {
+            new BackendConnectionPool(new SimulatedClock(), SETTINGS, null, extraBytes -> {})) {
       SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", instance.getLocalPort());
       Future<ReservedStreamingHttpConnection> opening = open(pool, endpoint);
       try (Socket accepted = instance.accept()) {
@@ -87,7 +87,7 @@
   void idleConnectionMakesRoomAtTheMaximum(boolean isIdle) throws Exception {
     try (ServerSocket instance = listen(0);
         BackendConnectionPool pool =
-            new BackendConnectionPool(new SimulatedClock(), SETTINGS, null)) {
+            new BackendConnectionPool(new SimulatedClock(), SETTINGS, null, extraBytes -> {})) {
       SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", instance.getLocalPort());
       ReservedStreamingHttpConnection connection =
           pool.open(endpoint, 1).orElseThrow().toFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseRelayTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseRelayTest.java
@@ -30,6 +30,9 @@
   private final List<RecordedResponse> recorded = new ArrayList<>();
 
   private final class RecordingListener implements DeliveryListener {
+    @Override
+    public void onHeadDelivered(int status) {}
+
     @Override
     public void onCompleted(Optional<RecordedResponse> captured) {
       ends.add("completed");
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
@@ -25,6 +25,7 @@
 import org.kumquatvane.http.CallerServer;
 import org.kumquatvane.http.CallerServerDependencies;
 import org.kumquatvane.http.CallerServerSettings;
+import org.kumquatvane.http.ExtraBytesLog;
 import org.kumquatvane.http.IoThreads;
 import org.kumquatvane.http.MessageSizeLimits;
 import org.kumquatvane.platform.PlatformDialect;
@@ -100,7 +101,8 @@
         new BackendConnectionPool(
             runtime.clock(),
             new BackendConnectionSettings(CONNECT_TIMEOUT, IDLE_TIMEOUT, NON_RETRYABLE_IDLE_LIMIT),
-            ioExecutor);
+            ioExecutor,
+            new ExtraBytesLog(eventLog, runtime.counters()));
     InstanceRegistry instanceRegistry =
         new InstanceRegistry(
             runtime.clock(),
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/ProxyServer.java
@@ -24,10 +24,12 @@
 import org.kumquatvane.document.ConfigurationTable;
 import org.kumquatvane.document.DocumentListener;
 import org.kumquatvane.http.BackendConnectionPool;
+import org.kumquatvane.http.BackendConnectionSettings;
 import org.kumquatvane.http.CallerProtocol;
 import org.kumquatvane.http.CallerServer;
 import org.kumquatvane.http.CallerServerDependencies;
 import org.kumquatvane.http.CallerServerSettings;
+import org.kumquatvane.http.ExtraBytesLog;
 import org.kumquatvane.http.KumquatvaneDialect;
 import org.kumquatvane.http.MessageSizeLimits;
 import org.kumquatvane.http.TlsFiles;
@@ -74,7 +76,12 @@
     List<DocumentListener> listeners = new ArrayList<>(decisions.documentListeners());
     listeners.add(fleet);
     configuration = new ConfigurationTable(listeners, runtime.monitor());
-    connections = new BackendConnectionPool(runtime.clock());
+    connections =
+        new BackendConnectionPool(
+            runtime.clock(),
+            BackendConnectionSettings.STANDARD,
+            null,
+            new ExtraBytesLog(eventLog, runtime.counters()));
     platform = new PlatformClient(settings.platform().endpoint());
     AtomicBoolean hasVmList = new AtomicBoolean();
     List<VmListListener> listListeners =
