--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
@@ -61,6 +61,15 @@
         .formatted(service, server.getLocalPort(), slots);
   }
 
+  /** Ends the output of all connections, so that the VM closes those that are idle. */
+  void endConnections() throws IOException {
+    for (Socket socket : connections) {
+      if (!socket.isClosed()) {
+        socket.shutdownOutput();
+      }
+    }
+  }
+
   private void acceptConnections() {
     while (!server.isClosed()) {
       try {
