--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** An instance that answers each request with bytes of a test's choice, valid HTTP or not. */
@@ -67,7 +68,7 @@
         Socket socket = server.accept();
         connections.add(socket);
         threads.execute(() -> serve(socket));
-      } catch (IOException closed) {
+      } catch (IOException | RejectedExecutionException closed) {
         return;
       }
     }
