--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
@@ -30,6 +30,7 @@
   static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(2);
   private static final Path BINARY = Path.of("..", "target", "kumquatvane").toAbsolutePath();
   private static final int EXIT_LIMIT_SECONDS = 90;
+  private static final int MAXIMUM_BODY_BYTES = 100_000;
 
   /** Long enough for all requests on a slow machine. */
   private static final int STOP_GRACE_SECONDS = 60;
@@ -196,6 +197,11 @@
 
   /** Publishes a configuration with look-ups that may be retried and bookings that may not. */
   void publish(List<String> keys, String bookings) {
+    publish(keys, bookings, MAXIMUM_BODY_BYTES);
+  }
+
+  /** Publishes the same configuration with another limit of request bodies. */
+  void publish(List<String> keys, String bookings, int maximumBodyBytes) {
     version += 3;
     String granted = keys.stream().map(key -> '"' + key + '"').collect(Collectors.joining(","));
     store.put(
@@ -211,12 +217,12 @@
                   ["faulty-bookings","127.0.0.1","/faulty-bookings/","unsafe",%2$d,1,1,"faulty",2]]},
          "services":{"columns":["name","healthPath","maxConnections","protocol","tls"],
           "rows":[["sessions","/healthz",330,"h1",false],["faulty","/healthz",330,"h1",false]]},
-         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutS":3,
+         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":%5$d,"headerTimeoutS":3,
                    "idleTimeoutS":15},
          "tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
           "rows":[["alpha",[%4$s],null,0,0]]}}
         """
-            .formatted(version, ROUTE_TIMEOUT.toSeconds(), bookings, granted));
+            .formatted(version, ROUTE_TIMEOUT.toSeconds(), bookings, granted, maximumBodyBytes));
   }
 
   StoreStandIn store() {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
@@ -67,6 +67,11 @@
     socket.getOutputStream().flush();
   }
 
+  /** Returns the number of bytes that have arrived and were not read. */
+  public int availableBytes() throws IOException {
+    return input.available();
+  }
+
   /** Closes the connection with a reset. */
   public void reset() throws IOException {
     socket.setSoLinger(true, 0);
