--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/SigningInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/SigningInstance.java
@@ -68,6 +68,10 @@
       return fields.getOrDefault("x-request-id", "");
     }
 
+    String method() {
+      return method;
+    }
+
     /** Returns a parameter of the query, or 0. */
     int parameter(String name) {
       for (String part : target.substring(target.indexOf('?') + 1).split("&", -1)) {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/CallerConnection.java
@@ -14,6 +14,7 @@
 /** One keep-alive connection of a caller, which can also send malformed requests. */
 public final class CallerConnection implements AutoCloseable {
   private static final int READ_TIMEOUT_MILLIS = 90_000;
+  private static final int FIRST_FINAL_STATUS = 200;
 
   private final Socket socket;
   private final InputStream input;
@@ -84,13 +85,10 @@
    * @throws EOFException if the connection ends before the head is complete
    */
   public RawResponse readResponse() throws IOException {
-    String statusLine = readLine();
-    List<String> headers = new ArrayList<>();
-    for (String line = readLine(); !line.isEmpty(); line = readLine()) {
-      headers.add(line);
+    RawResponse head = readHead();
+    if (head.status() < FIRST_FINAL_STATUS) {
+      return head;
     }
-    RawResponse head =
-        new RawResponse(Integer.parseInt(statusLine.split(" ", 3)[1]), headers, new byte[0], true);
     ByteArrayOutputStream body = new ByteArrayOutputStream();
     boolean isComplete;
     try {
@@ -101,7 +99,22 @@
     } catch (SocketException | EOFException e) {
       isComplete = false;
     }
-    return new RawResponse(head.status(), headers, body.toByteArray(), isComplete);
+    return new RawResponse(head.status(), head.headers(), body.toByteArray(), isComplete);
+  }
+
+  /**
+   * Reads a head that no body follows.
+   *
+   * @throws EOFException if the connection ends before the head is complete
+   */
+  public RawResponse readHead() throws IOException {
+    String statusLine = readLine();
+    List<String> headers = new ArrayList<>();
+    for (String line = readLine(); !line.isEmpty(); line = readLine()) {
+      headers.add(line);
+    }
+    return new RawResponse(
+        Integer.parseInt(statusLine.split(" ", 3)[1]), headers, new byte[0], true);
   }
 
   private boolean readChunks(ByteArrayOutputStream body) throws IOException {
