--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/AmbiguousResponseProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/AmbiguousResponseProcessTest.java
@@ -21,6 +21,7 @@
 class AmbiguousResponseProcessTest {
   private static final int DEADLINE_MILLIS = 1_500;
   private static final int BODY_BYTES = 40;
+  private static final long BEFORE_RESET_MILLIS = 200;
   private static final int FIRST_SUCCESS = 200;
   private static final int FIRST_REDIRECTION = 300;
   private static final String ID = "X-Request-Id: %1$s\r\n";
@@ -126,6 +127,8 @@
                 (request, output) -> {
                   request.readBody();
                   end.write(request, output);
+                  Thread.sleep(BEFORE_RESET_MILLIS);
+                  request.reset();
                 });
         CheckedCaller caller = new CheckedCaller(fleet.vm(0).callerPort())) {
       fleet.store().remove("servers/signing");
@@ -158,7 +161,6 @@
     WITH_LENGTH_LONG("Content-Length: 500000\r\n", 400_000);
 
     private static final int WHOLE_BYTES = 500_000;
-    private static final long BEFORE_RESET_MILLIS = 200;
     private final String framing;
     private final int sentBytes;
 
@@ -167,8 +169,7 @@
       this.sentBytes = sentBytes;
     }
 
-    private void write(SigningInstance.Request request, OutputStream output)
-        throws IOException, InterruptedException {
+    private void write(SigningInstance.Request request, OutputStream output) throws IOException {
       String id = request.id();
       String sent =
           SigningInstance.responseBody(id, FIRST_SUCCESS, WHOLE_BYTES).substring(0, sentBytes);
@@ -184,8 +185,6 @@
               + (this == CHUNKED_LONG ? Integer.toHexString(sentBytes) + "\r\n" : "")
               + sent
               + (this == CHUNKED_LONG ? "\r\n" : ""));
-      Thread.sleep(BEFORE_RESET_MILLIS);
-      request.reset();
     }
   }
 }
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/CallerFramingProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/CallerFramingProcessTest.java
@@ -48,15 +48,15 @@
       this.pieceLength = pieceLength;
       this.pauseMillis = pauseMillis;
     }
+  }
 
-    private void write(CallerConnection connection, String text)
-        throws IOException, InterruptedException {
-      for (int from = 0; from < text.length(); ) {
-        int end = (int) Math.min(text.length(), (long) from + pieceLength);
-        connection.write(text.substring(from, end));
-        from = end;
-        Thread.sleep(pauseMillis);
-      }
+  private static void write(CallerConnection connection, String text, Timing timing)
+      throws IOException, InterruptedException {
+    for (int from = 0; from < text.length(); ) {
+      int end = (int) Math.min(text.length(), (long) from + timing.pieceLength);
+      connection.write(text.substring(from, end));
+      from = end;
+      Thread.sleep(timing.pauseMillis);
     }
   }
 
@@ -118,7 +118,7 @@
                 isUnsafe ? BODY_BYTES : 0));
       }
       try (CallerConnection connection = connect()) {
-        timing.write(connection, requests.toString());
+        write(connection, requests.toString(), timing);
         for (String id : ids) {
           checkSuccess(id, connection.readResponse());
         }
