Test that a cut connection between VMs delivers only whole messages

Cause: other operators report messages that stopped in the middle and were taken for complete ones. Truncated message bodies were covered by MessageRegistryTest, frames and connections that end within a message were not.

PeerNetworkTest ends the connection after each byte of the handshake and of a message, in both directions, by FIN and by reset.

--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.kumquatvane.core.FailureDomain;
 import org.kumquatvane.core.FixedWorkerPool;
@@ -44,6 +45,11 @@
   private static final String SECRET = "a fleet secret of the tests";
   private static final Heartbeat MESSAGE = new Heartbeat(1, 2, ConfigurationVersions.NONE);
 
+  /** Bytes that each direction of a handshake has at least and, with a message, at most. */
+  private static final int MINIMUM_CUT_BYTES = 32;
+
+  private static final int MAXIMUM_CUT_BYTES = 1_000;
+
   private final List<TestVm> testVms = new ArrayList<>();
 
   @AfterEach
@@ -159,6 +165,33 @@
     }
   }
 
+  /**
+   * Guards against a handshake or a message that is taken for complete although its connection ends
+   * within it. The bytes are increased until the whole message arrives.
+   */
+  @ParameterizedTest
+  @CsvSource({"TO_TARGET,false", "TO_TARGET,true", "FROM_TARGET,false", "FROM_TARGET,true"})
+  void cutConnectionDeliversOnlyWholeMessages(CuttingProxy.Direction direction, boolean resets)
+      throws Exception {
+    TestVm receiver = start("e2", SECRET);
+    int bytes = 0;
+    while (receiver.received.isEmpty()) {
+      bytes++;
+      assertTrue(bytes < MAXIMUM_CUT_BYTES, "no message arrives");
+      TestVm sender = new TestVm("e1", SECRET, 0);
+      try (CuttingProxy proxy = new CuttingProxy(receiver.port, direction, bytes, resets)) {
+        sender.network.vmListChanged(new VmList(1, List.of(vm("e2", proxy.port())), List.of()));
+        sender.network.send(receiver.id, MESSAGE);
+        await(() -> proxy.hasCut() || !receiver.received.isEmpty());
+      } finally {
+        sender.close();
+      }
+    }
+    assertTrue(bytes > MINIMUM_CUT_BYTES, "a message arrived after " + bytes + " bytes");
+    receiver.received.forEach(message -> assertEquals("e1 " + MESSAGE, message));
+    assertEquals(0, receiver.counters.value("peer.dropped.malformed"));
+  }
+
   @Test
   void idleConnectionIsNotClosed() throws Exception {
     TestVm first = start("e1", SECRET);
