--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
@@ -1,6 +1,7 @@
 package org.kumquatvane.verification.platform;
 
 import java.io.BufferedReader;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
@@ -24,10 +25,51 @@
   private final AtomicInteger runningResponses = new AtomicInteger();
   private volatile Responder responder;
 
-  /** Writes the bytes that follow a request; the connection stays open unless it throws. */
+  /**
+   * Writes the bytes that follow a request; the connection stays open unless it throws or ends the
+   * connection.
+   */
   @FunctionalInterface
   interface Responder {
-    void respond(String requestId, OutputStream output) throws IOException, InterruptedException;
+    void respond(String requestId, Output output) throws IOException, InterruptedException;
+  }
+
+  /** Output of one connection, which can also be ended; {@link #close} ends it with FIN. */
+  static final class Output extends OutputStream {
+    private final Socket socket;
+    private final OutputStream bytes;
+    private int requests;
+
+    private Output(Socket socket) throws IOException {
+      this.socket = socket;
+      bytes = socket.getOutputStream();
+    }
+
+    /** Returns the number of requests received on the connection so far. */
+    int requests() {
+      return requests;
+    }
+
+    /** Ends the connection with a reset. */
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
+    @Override
+    public void write(int value) throws IOException {
+      bytes.write(value);
+    }
+
+    @Override
+    public void write(byte[] values, int offset, int length) throws IOException {
+      bytes.write(values, offset, length);
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
   }
 
   RawInstance(Responder responder) {
@@ -78,14 +120,22 @@
       BufferedReader input =
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+      Output output = new Output(socket);
       String requestId = "";
+      long bodyBytes = 0;
       String line;
       while ((line = input.readLine()) != null) {
         if (line.toLowerCase(Locale.ROOT).startsWith("x-request-id:")) {
           requestId = line.substring(line.indexOf(':') + 1).trim();
         }
+        if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+          bodyBytes = Long.parseLong(line.substring(line.indexOf(':') + 1).trim());
+        }
         if (line.isEmpty()) {
-          respond(requestId, socket);
+          skipBody(input, bodyBytes);
+          bodyBytes = 0;
+          output.requests++;
+          respond(requestId, output);
         }
       }
     } catch (IOException closedByVm) {
@@ -97,10 +147,19 @@
     }
   }
 
-  private void respond(String requestId, Socket socket) throws IOException, InterruptedException {
+  /** Reads a body: Linux resets a connection that is closed while received bytes are unread. */
+  private static void skipBody(BufferedReader input, long bytes) throws IOException {
+    for (long left = bytes; left > 0; left--) {
+      if (input.read() < 0) {
+        throw new EOFException("the VM closed the connection within a body");
+      }
+    }
+  }
+
+  private void respond(String requestId, Output output) throws IOException, InterruptedException {
     runningResponses.incrementAndGet();
     try {
-      responder.respond(requestId, socket.getOutputStream());
+      responder.respond(requestId, output);
     } finally {
       runningResponses.decrementAndGet();
     }
