Bound a wait in the test of leftover bytes

Cause: a row waits until the instance has written the previous response. If the VM closed the connection before the last write, that write failed and the wait had no end; a trial of more rows stopped there.

Change: a failed write ends the wait as well, and the wait has a limit.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/LeftoverInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/LeftoverInstance.java
@@ -1,5 +1,7 @@
 package org.kumquatvane.verification.platform;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.List;
@@ -14,6 +16,7 @@
   /** Ends a response for which a VM would otherwise wait until the deadline. */
   private static final long CLOSE_DELAY_MILLIS = 300;
 
+  private static final int WRITE_LIMIT_SECONDS = 10;
   private static final int DESCRIBED_BYTES = 300;
 
   private final LeftoverRow row;
@@ -53,8 +56,12 @@
       RawInstance.write(output, previous().head(framing) + BODY_AFTER_REFUSAL);
       return;
     }
-    row.timing().writePrevious(output, row.framing().encode(previous), leftover);
-    previousWritten.countDown();
+    try {
+      row.timing().writePrevious(output, row.framing().encode(previous), leftover);
+    } finally {
+      // The VM may close the connection before all bytes are written.
+      previousWritten.countDown();
+    }
     if (row.framing() == ResponseFraming.UNTIL_CLOSE) {
       throw new IOException("end of the response");
     }
@@ -97,7 +104,9 @@
 
   /** Waits until the bytes that follow the previous response at once have been written. */
   void awaitPreviousWritten() throws InterruptedException {
-    previousWritten.await();
+    assertTrue(
+        previousWritten.await(WRITE_LIMIT_SECONDS, TimeUnit.SECONDS),
+        "the previous response was not written");
   }
 
   /** Ends the wait after the next response. */
