Remove the instance of a leftover row also after an error

Cause: a row that ends with an exception left its instance in the store, and the next row of the same service could be sent to it.

Change: the instance is removed in any case. The length of a cut status line is the constant that the other rows use.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/Leftover.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/Leftover.java
@@ -10,6 +10,9 @@
  * @param bytes the bytes
  */
 record Leftover(String name, Bytes bytes) {
+  /** Length of a status line with an empty reason phrase, without its line end. */
+  private static final int STATUS_LENGTH = "HTTP/1.1 200 ".length();
+
   static final Leftover NOTHING = fixed("nothing", "");
 
   /** Begins a head whose last line is open, so that the next status line becomes its value. */
@@ -19,10 +22,7 @@
   static final Leftover COPY_AND_PART =
       new Leftover(
           "copy and part of another",
-          (previous, encoded, nextId) -> encoded + encoded.substring(0, 13));
-
-  /** Length of a status line with an empty reason phrase, without its line end. */
-  private static final int STATUS_LENGTH = "HTTP/1.1 200 ".length();
+          (previous, encoded, nextId) -> encoded + encoded.substring(0, STATUS_LENGTH));
 
   private static final InstanceResponse SAMPLE =
       ResponseFraming.CONTENT_LENGTH.response("0".repeat(16));
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/LeftoverBytesProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/LeftoverBytesProcessTest.java
@@ -246,10 +246,11 @@
       fleet.store().put("servers/" + name, instance.storeEntry("service-" + service.get(), 3));
       awaitKnown(name, true);
       String fault = check.check(row, responder);
+      return fault.isEmpty() ? "" : responder + ": " + fault;
+    } finally {
       responder.end();
       fleet.store().remove("servers/" + name);
       awaitKnown(name, false);
-      return fault.isEmpty() ? "" : responder + ": " + fault;
     }
   }
 
