Refuse responses that name several requests behind serve too

A response whose head named the waiting request and another one was passed on by serve; found by the review of the incident's fix.

Cause: KumquatvaneDialect compared the first echoed id only, as the platform's dialect did.

Change: an echoed id has to be the only one.

Measured: KumquatvaneDialectTest (5) passes; it was not run on the code before.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/KumquatvaneDialect.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/KumquatvaneDialect.java
@@ -83,8 +83,11 @@
   public ResponseCheck checkResponse(
       HttpResponseMetaData response, AttemptPlan plan, boolean hasBody) {
     HttpHeaders headers = response.headers();
-    @Nullable CharSequence echoed = headers.get(HeaderNames.REQUEST_ID);
-    if (echoed != null && !plan.request().value().contentEquals(echoed)) {
+    boolean isOwn =
+        MessageHeads.singleValue(headers, HeaderNames.REQUEST_ID)
+            .filter(plan.request().value()::equals)
+            .isPresent();
+    if (headers.contains(HeaderNames.REQUEST_ID) && !isOwn) {
       return new ResponseCheck.Unusable(AttemptFailure.ANSWER_CROSSED);
     }
     if (hasBody && !isFramed(headers)) {
