State what the guard of responses relies on

Change: a connection whose guard is gone, which has been closed, is not released for reuse; report no longer returns a constant; comments name the threads and the property of the library that a response ends only after its request has been written.

Measured: ResponseByteGuardTest, ResponseScannerTest, ResponseRelayTest and BackendConnectionPoolTest pass.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
@@ -205,6 +205,8 @@
   }
 
   private StreamingHttpClient newClient(SocketEndpoint endpoint) {
+    // With more than one pipelined request, a response could end while its request is being
+    // written, and ResponseByteGuard would take the rest for the next request.
     return DirectClients.builder(endpoint, settings.connectTimeout(), ioExecutor)
         .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
         .buildStreaming();
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/ExtraBytes.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/ExtraBytes.java
@@ -21,7 +21,7 @@
   public enum Position {
     /** On a connection that no request used. */
     IDLE,
-    /** After the end of a response, in the same read. */
+    /** After the end of a response, before its attempt has released the connection. */
     AFTER_RESPONSE,
     /** In place of a response, or within it: the bytes are no valid response. */
     MALFORMED_RESPONSE,
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -355,7 +355,7 @@
     StreamingHttpResponse received = response;
     if (received == null) {
       connections.release(endpoint, used, Optional.empty());
-    } else if (guard.map(ResponseByteGuard::onResponseEnd).orElse(true)
+    } else if (guard.map(ResponseByteGuard::onResponseEnd).orElse(false)
         && !closesConnection(received)) {
       connections.release(endpoint, used, KeepAlive.idleTimeout(received.headers()));
     } else {
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
@@ -55,10 +55,16 @@
   private volatile int bytesWithoutProgress;
   private volatile @Nullable ChannelHandlerContext context;
 
-  /** Scanner for the response to a request of which nothing has been written yet. */
+  /**
+   * Scanner for the response to a request of which nothing has been written yet; set by the thread
+   * that sends the request, taken by the event loop.
+   */
   private volatile @Nullable ResponseScanner announced;
 
-  /** Scanner of the response that is being read; null while no response may come. */
+  /**
+   * Scanner of the response that is being read; null while no response may come. Only the event
+   * loop scans with it.
+   */
   private volatile @Nullable ResponseScanner scanner;
 
   private volatile boolean hasExtraBytes;
@@ -173,7 +179,11 @@
     return hasExtraBytes;
   }
 
-  /** Expects the response from the first byte of the request on, and none before it. */
+  /**
+   * Expects the response from the first byte of the request on, and none before it. The first write
+   * after {@link #onRequest} is that byte, since a response ends only after its own request has
+   * been written.
+   */
   @Override
   public void write(ChannelHandlerContext current, Object message, ChannelPromise promise)
       throws Exception {
@@ -199,35 +209,34 @@
   private boolean acceptBytes(ByteBuf bytes) {
     ResponseScanner reading = scanner;
     if (reading == null) {
-      return reject(ExtraBytes.Position.IDLE, bytes.readableBytes());
+      report(ExtraBytes.Position.IDLE, bytes.readableBytes());
+      return false;
     }
     if (reading.state() == MessageScanner.State.COMPLETE) {
-      return reject(ExtraBytes.Position.AFTER_RESPONSE, bytes.readableBytes());
+      report(ExtraBytes.Position.AFTER_RESPONSE, bytes.readableBytes());
+      return false;
     }
     int received = bytesWithoutProgress + bytes.readableBytes();
     bytesWithoutProgress = received;
     if (received > MAXIMUM_BYTES_WITHOUT_PROGRESS) {
-      return reject(ExtraBytes.Position.WITHOUT_END, bytes.readableBytes());
+      report(ExtraBytes.Position.WITHOUT_END, bytes.readableBytes());
+      return false;
     }
     int end = bytes.writerIndex();
     int responseEnd = reading.scan(bytes, bytes.readerIndex(), end);
     if (reading.state() == MessageScanner.State.MALFORMED) {
-      return reject(ExtraBytes.Position.MALFORMED_RESPONSE, bytes.readableBytes());
+      report(ExtraBytes.Position.MALFORMED_RESPONSE, bytes.readableBytes());
+      return false;
     }
     if (responseEnd < end) {
-      reject(ExtraBytes.Position.AFTER_RESPONSE, end - responseEnd);
+      report(ExtraBytes.Position.AFTER_RESPONSE, end - responseEnd);
       bytes.writerIndex(responseEnd);
     }
     return true;
   }
 
-  private boolean reject(ExtraBytes.Position position, int count) {
-    hasExtraBytes = true;
-    report(position, count);
-    return false;
-  }
-
   private void report(ExtraBytes.Position position, int count) {
+    hasExtraBytes = true;
     listener.onExtraBytes(
         new ExtraBytes(server, connectionNumber, requestCount.get(), position, count));
   }
