--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/LeftoverInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/LeftoverInstance.java
@@ -36,7 +36,8 @@
   }
 
   @Override
-  public void respond(String id, OutputStream output) throws IOException, InterruptedException {
+  public void respond(String id, RawInstance.Output output)
+      throws IOException, InterruptedException {
     if (id.equals(previous.requestId())) {
       previousArrivals.add(output);
       respondToPrevious(output);
