Log why an attempt counts as not run

Change: request lines have address, carried_before, request_written and extra_bytes; attempt_failed has not_run_ground. A connection is a type of its own, BackendConnection, which knows the requests that it has carried, as hashes of their IDs and 1,024 at most; after that many a connection is closed. No decision uses the IDs yet.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestLog.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/RequestLog.java
@@ -48,6 +48,7 @@
         "attempt_failed",
         attempts,
         LogField.of("failure", failure.name().toLowerCase(Locale.ROOT)),
+        LogField.of("not_run_ground", failure.notRunGround().token()),
         LogField.of("instance_gone", instanceGone),
         LogField.of("next", next));
   }
@@ -75,6 +76,7 @@
     Reservation reservation = lastReservation;
     fields.add(LogField.of("instance", reservation == null ? "" : reservation.instance().id()));
     if (reservation != null) {
+      fields.add(LogField.of("address", reservation.instance().endpoint()));
       Reservation.SelectionSnapshot snapshot = reservation.snapshot();
       fields.add(LogField.of("risk", Math.round(snapshot.failureProbability() * PERCENT)));
       fields.add(LogField.of("evidence_age_ms", snapshot.evidenceAgeMillis()));
@@ -90,11 +92,14 @@
     }
     fields.add(LogField.of("connection", trace.connection()));
     fields.add(LogField.of("connection_requests", trace.requestsOnConnection()));
+    fields.add(LogField.of("carried_before", trace.wasCarriedBefore()));
+    fields.add(LogField.of("request_written", trace.isRequestWritten()));
     fields.add(LogField.of("status_read", trace.status()));
     trace
         .declaredBytes()
         .ifPresent(declared -> fields.add(LogField.of("declared_bytes", declared)));
     fields.add(LogField.of("body_bytes", trace.bodyBytes()));
+    fields.add(LogField.of("extra_bytes", trace.extraBytes()));
   }
 
   private static long toMillis(long nanos) {
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/EngineFixture.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/EngineFixture.java
@@ -56,7 +56,6 @@
 import org.kumquatvane.selection.SlotRequirements;
 import org.kumquatvane.selection.TrackedInstancePool;
 import org.kumquatvane.testing.DirectWorkerPool;
-import org.kumquatvane.testing.DiscardingEventLog;
 import org.kumquatvane.testing.FailingInvariantMonitor;
 import org.kumquatvane.testing.RecordingCounters;
 import org.kumquatvane.testing.SimulatedClock;
@@ -73,6 +72,7 @@
   final SimulatedScheduler scheduler = new SimulatedScheduler(clock);
   final RecordingCounters counters = new RecordingCounters();
   final Set<KeyDigest> acceptedKeys = new HashSet<>(Set.of(KEY));
+  final List<String> events = new ArrayList<>();
   final List<OperationResult> operationResults = new ArrayList<>();
   final Set<RequestFingerprint> crashedInstanceReports = new HashSet<>();
   LimitDecision limitDecision = new LimitDecision.Admitted();
@@ -108,7 +108,7 @@
                 new FullRequestDeadline(),
                 service -> 1,
                 counters,
-                new DiscardingEventLog(),
+                (level, event, fields) -> events.add(event + " " + List.of(fields)),
                 new FailingInvariantMonitor()),
             10);
     Document document = document();
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
@@ -72,6 +72,30 @@
         refusal().execution());
   }
 
+  /** Guards against a log that does not tell why a request was sent again. */
+  @ParameterizedTest
+  @CsvSource({
+    "CONNECT_FAILED, nothing_written",
+    "SHED, stated_by_server",
+    "CONNECTION_LOST, none",
+    "ANSWER_INCOMPLETE, none"
+  })
+  void logsWhyFailedAttemptCountsAsNotRun(AttemptFailure failure, String ground) {
+    exchange.thenFail(failure, false).thenRespond(200);
+
+    fixture.lookUp(exchange);
+    elapse(Duration.ofMillis(100));
+
+    String line =
+        fixture.events.stream()
+            .filter(event -> event.startsWith("attempt_failed"))
+            .findFirst()
+            .orElse("");
+    for (String field : List.of("not_run_ground, value=" + ground, "name=address")) {
+      assertTrue(line.contains(field), line);
+    }
+  }
+
   /** Guards against a retry on the instance that just failed. */
   @Test
   void retriesOnAnotherInstance() {
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/ScriptedExchange.java
@@ -135,7 +135,7 @@
     public AttemptTrace trace() {
       ResponseHead received = head;
       return new AttemptTrace(
-          1, 1, received == null ? 0 : received.status(), OptionalLong.empty(), 0);
+          1, 1, false, true, received == null ? 0 : received.status(), OptionalLong.empty(), 0, 0);
     }
 
     @Override
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/BackendConnectionPool.java
@@ -2,7 +2,6 @@
 
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.transport.api.IoExecutor;
@@ -22,8 +21,8 @@
 import org.kumquatvane.core.LockRank;
 import org.kumquatvane.core.RankedLock;
 import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.http.internal.BackendConnection;
 import org.kumquatvane.http.internal.ConnectionSet;
-import org.kumquatvane.http.internal.ResponseByteGuard;
 import org.kumquatvane.selection.Instance;
 
 /**
@@ -74,12 +73,11 @@
    * @param retryable whether the request can be sent again if the connection turns out to be closed
    * @return a connection that is not known to be closed, or empty
    */
-  public Optional<ReservedStreamingHttpConnection> acquireIdle(
-      SocketEndpoint endpoint, boolean retryable) {
-    List<ReservedStreamingHttpConnection> expired = new ArrayList<>();
-    Optional<ReservedStreamingHttpConnection> idle =
+  public Optional<BackendConnection> acquireIdle(SocketEndpoint endpoint, boolean retryable) {
+    List<BackendConnection> expired = new ArrayList<>();
+    Optional<BackendConnection> idle =
         lock.call(() -> connectionSet(endpoint).acquireIdle(clock, !retryable, expired));
-    expired.forEach(BackendConnectionPool::close);
+    expired.forEach(BackendConnection::close);
     return idle;
   }
 
@@ -90,24 +88,22 @@
    * @param maximumConnections maximum number of connections of this VM to the backend server
    * @return the connection, or empty if the maximum is reached
    */
-  public Optional<Single<ReservedStreamingHttpConnection>> open(
-      SocketEndpoint endpoint, int maximumConnections) {
-    List<ReservedStreamingHttpConnection> expired = new ArrayList<>();
+  public Optional<Single<BackendConnection>> open(SocketEndpoint endpoint, int maximumConnections) {
+    List<BackendConnection> expired = new ArrayList<>();
     Optional<StreamingHttpClient> client =
         lock.call(() -> connectionSet(endpoint).tryCountOpening(maximumConnections, expired));
-    expired.forEach(BackendConnectionPool::close);
+    expired.forEach(BackendConnection::close);
     return client.map(
         opener ->
             opener
                 .reserveConnection(opener.get("/"))
-                .beforeOnSuccess(opened -> installGuard(endpoint, opened))
+                .map(
+                    opened ->
+                        BackendConnection.of(
+                            opened, endpoint, connectionCount.incrementAndGet(), extraBytes))
                 .beforeOnError(failure -> countClosed(endpoint)));
   }
 
-  private void installGuard(SocketEndpoint endpoint, ReservedStreamingHttpConnection opened) {
-    ResponseByteGuard.install(opened, endpoint, connectionCount.incrementAndGet(), extraBytes);
-  }
-
   /**
    * Returns a connection to the pool after a complete response.
    *
@@ -117,7 +113,7 @@
    */
   public void release(
       SocketEndpoint endpoint,
-      ReservedStreamingHttpConnection connection,
+      BackendConnection connection,
       Optional<Duration> announcedIdleTimeout) {
     Duration idleTimeout =
         announcedIdleTimeout
@@ -129,7 +125,7 @@
     Deadline closeAt = Deadline.after(clock, idleTimeout);
     Deadline nonRetryableUntil =
         Deadline.after(clock, settings.nonRetryableIdleLimit()).earliest(closeAt);
-    ResponseByteGuard.of(connection).ifPresent(ResponseByteGuard::watchIdle);
+    connection.watchIdle();
     lock.run(() -> connectionSet(endpoint).addIdle(connection, nonRetryableUntil, closeAt));
   }
 
@@ -139,9 +135,9 @@
    * @param endpoint the backend server
    * @param connection the connection
    */
-  public void discard(SocketEndpoint endpoint, ReservedStreamingHttpConnection connection) {
+  public void discard(SocketEndpoint endpoint, BackendConnection connection) {
     countClosed(endpoint);
-    close(connection);
+    connection.close();
   }
 
   /**
@@ -150,7 +146,7 @@
    * @param endpoint the backend server
    */
   public void discardIdle(SocketEndpoint endpoint) {
-    lock.call(() -> connectionSet(endpoint).removeIdle()).forEach(BackendConnectionPool::close);
+    lock.call(() -> connectionSet(endpoint).removeIdle()).forEach(BackendConnection::close);
   }
 
   /**
@@ -212,10 +208,6 @@
         .buildStreaming();
   }
 
-  private static void close(ReservedStreamingHttpConnection connection) {
-    subscribeIgnoringErrors(connection.closeAsync());
-  }
-
   private static void subscribeIgnoringErrors(Completable completable) {
     completable.onErrorComplete().subscribe();
   }
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -9,7 +9,6 @@
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpHeaderValues;
 import io.servicetalk.http.api.HttpHeaders;
-import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.transport.api.RetryableException;
 import java.util.Optional;
@@ -57,10 +56,9 @@
   private final AttemptListener listener;
   private final AtomicBoolean connectionEnded = new AtomicBoolean();
   private final AtomicLong bodyBytes = new AtomicLong();
-  private volatile @Nullable ReservedStreamingHttpConnection connection;
+  private volatile @Nullable BackendConnection connection;
   private volatile @Nullable StreamingHttpResponse response;
   private volatile @Nullable Cancellable pending;
-  private volatile Optional<ResponseByteGuard> guard = Optional.empty();
   private volatile boolean cancelled;
 
   /** Body that is being collected or was read completely; null if the body is streamed. */
@@ -68,9 +66,11 @@
 
   private volatile boolean isReceived;
 
-  /** Number of this request on its connection. */
+  /** Number of this request on its connection, from 1; 0 before it is sent. */
   private volatile int requestNumber;
 
+  private volatile boolean wasCarriedBefore;
+
   BackendAttempt(
       HttpExchange exchange,
       BackendConnectionPool connections,
@@ -86,7 +86,7 @@
   }
 
   void start() {
-    Optional<ReservedStreamingHttpConnection> idle =
+    Optional<BackendConnection> idle =
         plan.needsNewConnection()
             ? Optional.empty()
             : connections.acquireIdle(endpoint, plan.retryable());
@@ -94,7 +94,7 @@
       send(idle.get());
       return;
     }
-    Optional<Single<ReservedStreamingHttpConnection>> opening =
+    Optional<Single<BackendConnection>> opening =
         connections.open(endpoint, plan.maximumConnections());
     if (opening.isEmpty()) {
       listener.onFailure(AttemptFailure.CONNECT_FAILED, false);
@@ -106,28 +106,27 @@
         failure -> listener.onFailure(AttemptFailure.CONNECT_FAILED, false));
   }
 
-  private void send(ReservedStreamingHttpConnection opened) {
+  private void send(BackendConnection opened) {
     connection = opened;
     if (cancelled) {
       // Nothing was written, so the connection can be reused.
       releaseConnection();
       return;
     }
-    guard = ResponseByteGuard.of(opened);
-    guard.ifPresent(
-        used -> {
-          used.onRequest(exchange.isHeadRequest());
-          requestNumber = used.requestCount();
-        });
+    wasCarriedBefore = opened.hasCarried(plan.request());
+    requestNumber = opened.requestCount() + 1;
     long remainingMillis =
         TimeUnit.NANOSECONDS.toMillis(plan.deadline().nanos() - System.nanoTime());
     subscribe(
-        opened.request(exchange.backendRequest(opened, plan, remainingMillis)),
+        opened.send(
+            plan.request(),
+            exchange.isHeadRequest(),
+            requests -> exchange.backendRequest(requests, plan, remainingMillis)),
         this::onHeadReceived,
-        this::onRequestFailed);
+        failure -> onRequestFailed(opened, failure));
   }
 
-  private void onRequestFailed(Throwable failure) {
+  private void onRequestFailed(BackendConnection used, Throwable failure) {
     discardConnection();
     if (failure instanceof RetryableException) {
       // ServiceTalk reports failures before the first write as retryable.
@@ -135,7 +134,7 @@
       listener.onFailure(AttemptFailure.CONNECT_FAILED, false);
       return;
     }
-    if (guard.isPresent() && guard.get().hasExtraBytes()) {
+    if (used.guard().extraBytes() > 0) {
       listener.onFailure(AttemptFailure.ANSWER_INCOMPLETE, false);
       return;
     }
@@ -144,7 +143,7 @@
 
   /** Opens a new connection to distinguish a lost connection from a lost instance. */
   private void probeInstance() {
-    Optional<Single<ReservedStreamingHttpConnection>> probe =
+    Optional<Single<BackendConnection>> probe =
         connections.open(endpoint, plan.maximumConnections());
     if (probe.isEmpty()) {
       listener.onFailure(AttemptFailure.CONNECTION_LOST, false);
@@ -161,7 +160,7 @@
 
   private void onHeadReceived(StreamingHttpResponse received) {
     response = received;
-    guard.ifPresent(ResponseByteGuard::onProgress);
+    noteProgress();
     ResponseCheck check = exchange.dialect().checkResponse(received, plan, hasBody(received));
     if (check instanceof ResponseCheck.Unusable unusable) {
       abandonResponse(received);
@@ -291,16 +290,20 @@
   @Override
   public AttemptTrace trace() {
     StreamingHttpResponse received = response;
-    return guard
-        .map(
-            used ->
-                new AttemptTrace(
-                    used.connectionNumber(),
-                    requestNumber,
-                    received == null ? 0 : received.status().code(),
-                    received == null ? OptionalLong.empty() : declaredLength(received),
-                    bodyBytes.get()))
-        .orElse(AttemptTrace.NONE);
+    BackendConnection used = connection;
+    int number = requestNumber;
+    if (used == null || number == 0) {
+      return AttemptTrace.NONE;
+    }
+    return new AttemptTrace(
+        used.number(),
+        number,
+        wasCarriedBefore,
+        used.guard().isWritten(number),
+        received == null ? 0 : received.status().code(),
+        received == null ? OptionalLong.empty() : declaredLength(received),
+        bodyBytes.get(),
+        used.guard().extraBytes());
   }
 
   @Override
@@ -338,7 +341,14 @@
 
   private void onBodyPart(Buffer part) {
     bodyBytes.addAndGet(part.readableBytes());
-    guard.ifPresent(ResponseByteGuard::onProgress);
+    noteProgress();
+  }
+
+  private void noteProgress() {
+    BackendConnection used = connection;
+    if (used != null) {
+      used.guard().onProgress();
+    }
   }
 
   private OptionalLong declaredLength(StreamingHttpResponse received) {
@@ -348,15 +358,14 @@
   }
 
   private void releaseConnection() {
-    ReservedStreamingHttpConnection used = connection;
+    BackendConnection used = connection;
     if (used == null || !connectionEnded.compareAndSet(false, true)) {
       return;
     }
     StreamingHttpResponse received = response;
     if (received == null) {
       connections.release(endpoint, used, Optional.empty());
-    } else if (guard.map(ResponseByteGuard::onResponseEnd).orElse(false)
-        && !closesConnection(received)) {
+    } else if (used.guard().onResponseEnd() && used.canCarryMore() && !closesConnection(received)) {
       connections.release(endpoint, used, KeepAlive.idleTimeout(received.headers()));
     } else {
       connections.discard(endpoint, used);
@@ -374,7 +383,7 @@
   }
 
   private void discardConnection() {
-    ReservedStreamingHttpConnection used = connection;
+    BackendConnection used = connection;
     if (used != null && connectionEnded.compareAndSet(false, true)) {
       connections.discard(endpoint, used);
     }
--- /dev/null
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CarriedRequests.java
@@ -0,0 +1,60 @@
+package org.kumquatvane.http.internal;
+
+import java.util.Arrays;
+import org.kumquatvane.core.RequestId;
+
+/**
+ * The requests that a connection has carried.
+ *
+ * <p>Only hashes of their IDs are kept, since callers choose the IDs and their lengths. Two IDs
+ * with one hash count as one request.
+ *
+ * <p>Not safe for use by several threads: a connection carries one request at a time, and changes
+ * hands under the lock of its pool.
+ */
+final class CarriedRequests {
+  private static final int INITIAL_CAPACITY = 8;
+
+  /** Bounds the memory of a connection to 4 KB and the time of a look-up to a microsecond or so. */
+  private static final int MAXIMUM_COUNT = 1 << 10;
+
+  private int[] hashes = new int[INITIAL_CAPACITY];
+  private int count;
+
+  /** Returns whether the connection has carried the request, or one with the same hash. */
+  boolean contains(RequestId id) {
+    int hash = id.hashCode();
+    for (int i = 0; i < count; i++) {
+      if (hashes[i] == hash) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Adds a request.
+   *
+   * @param id the request
+   * @throws IllegalStateException if the maximum has been reached
+   */
+  void add(RequestId id) {
+    if (isFull()) {
+      throw new IllegalStateException("the connection has carried " + count + " requests");
+    }
+    if (count == hashes.length) {
+      hashes = Arrays.copyOf(hashes, Math.min(MAXIMUM_COUNT, 2 * count));
+    }
+    hashes[count++] = id.hashCode();
+  }
+
+  /** Returns whether no further request can be added. */
+  boolean isFull() {
+    return count == MAXIMUM_COUNT;
+  }
+
+  /** Returns the number of requests that the connection has carried. */
+  int count() {
+    return count;
+  }
+}
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ConnectionSet.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ConnectionSet.java
@@ -1,8 +1,6 @@
 package org.kumquatvane.http.internal;
 
-import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpClient;
-import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -32,8 +30,7 @@
    * @param nonRetryableUntil until when it may carry a request that is not retryable
    * @param closeAt when it is closed
    */
-  private record Idle(
-      ReservedStreamingHttpConnection connection, Deadline nonRetryableUntil, Deadline closeAt) {}
+  private record Idle(BackendConnection connection, Deadline nonRetryableUntil, Deadline closeAt) {}
 
   /**
    * Takes the most recently used idle connection and removes expired and closed ones.
@@ -44,13 +41,13 @@
    * @param expired receives the connections to close
    * @return a connection, or empty
    */
-  public Optional<ReservedStreamingHttpConnection> acquireIdle(
-      Clock clock, boolean forNonRetryable, List<ReservedStreamingHttpConnection> expired) {
+  public Optional<BackendConnection> acquireIdle(
+      Clock clock, boolean forNonRetryable, List<BackendConnection> expired) {
     while (!idle.isEmpty() && idle.getFirst().closeAt().isReached(clock)) {
       expired.add(idle.removeFirst().connection());
       openCount--;
     }
-    while (!idle.isEmpty() && !isOpen(idle.getLast().connection())) {
+    while (!idle.isEmpty() && !idle.getLast().connection().isOpen()) {
       expired.add(idle.removeLast().connection());
       openCount--;
     }
@@ -60,11 +57,6 @@
     return Optional.ofNullable(idle.pollLast()).map(Idle::connection);
   }
 
-  private static boolean isOpen(ReservedStreamingHttpConnection connection) {
-    return !(connection.connectionContext() instanceof NettyConnectionContext context)
-        || context.nettyChannel().isActive();
-  }
-
   /**
    * Counts a connection that is about to be opened, unless the maximum is reached. An idle one that
    * the caller cannot use makes room for it.
@@ -74,7 +66,7 @@
    * @return the client that opens it, or empty if the maximum is reached
    */
   public Optional<StreamingHttpClient> tryCountOpening(
-      int maximum, List<ReservedStreamingHttpConnection> expired) {
+      int maximum, List<BackendConnection> expired) {
     if (openCount >= maximum && !idle.isEmpty()) {
       expired.add(idle.removeFirst().connection());
       openCount--;
@@ -98,8 +90,7 @@
    * @param nonRetryableUntil until when it may carry a request that is not retryable
    * @param closeAt when it is closed
    */
-  public void addIdle(
-      ReservedStreamingHttpConnection connection, Deadline nonRetryableUntil, Deadline closeAt) {
+  public void addIdle(BackendConnection connection, Deadline nonRetryableUntil, Deadline closeAt) {
     idle.addLast(new Idle(connection, nonRetryableUntil, closeAt));
   }
 
@@ -108,8 +99,8 @@
    *
    * @return the connections, to be closed
    */
-  public List<ReservedStreamingHttpConnection> removeIdle() {
-    List<ReservedStreamingHttpConnection> removed = idle.stream().map(Idle::connection).toList();
+  public List<BackendConnection> removeIdle() {
+    List<BackendConnection> removed = idle.stream().map(Idle::connection).toList();
     openCount -= idle.size();
     idle.clear();
     return removed;
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
@@ -9,10 +9,8 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
-import io.servicetalk.http.api.ReservedStreamingHttpConnection;
-import io.servicetalk.transport.netty.internal.NettyConnectionContext;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.http.ExtraBytes;
@@ -31,7 +29,7 @@
  * <p>It reads from idle connections, which ServiceTalk does not: Netty's NIO transport reports
  * neither such bytes nor the end of a connection to a channel that does not read.
  */
-public final class ResponseByteGuard extends ChannelDuplexHandler {
+final class ResponseByteGuard extends ChannelDuplexHandler {
   /**
    * Maximum number of bytes received without a response head or a part of a body. Heads have a few
    * hundred bytes; a field of 13 bytes takes some 250 on the heap, so 128 KB of short fields on 50
@@ -52,6 +50,7 @@
   private final long connectionNumber;
   private final ExtraBytesListener listener;
   private final AtomicInteger requestCount = new AtomicInteger();
+  private final AtomicLong extraBytes = new AtomicLong();
   private volatile int bytesWithoutProgress;
   private volatile @Nullable ChannelHandlerContext context;
 
@@ -67,7 +66,8 @@
    */
   private volatile @Nullable ResponseScanner scanner;
 
-  private volatile boolean hasExtraBytes;
+  /** Number of requests of which a byte has been written. */
+  private volatile int writtenRequests;
 
   private ResponseByteGuard(
       SocketEndpoint server, long connectionNumber, ExtraBytesListener listener) {
@@ -79,26 +79,20 @@
   /**
    * Installs a guard on a new connection.
    *
-   * @param connection the connection
+   * @param channel channel of the connection
    * @param server the backend server at its other end
    * @param connectionNumber number of the connection, unique in the process
    * @param listener notified of bytes that belong to no response
    */
-  public static void install(
-      ReservedStreamingHttpConnection connection,
-      SocketEndpoint server,
-      long connectionNumber,
-      ExtraBytesListener listener) {
-    if (connection.connectionContext() instanceof NettyConnectionContext context) {
-      Channel channel = context.nettyChannel();
-      channel
-          .config()
-          .setRecvByteBufAllocator(
-              new AdaptiveRecvByteBufAllocator(
-                      MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
-                  .maxMessagesPerRead(1));
-      install(channel.pipeline(), server, connectionNumber, listener);
-    }
+  static ResponseByteGuard install(
+      Channel channel, SocketEndpoint server, long connectionNumber, ExtraBytesListener listener) {
+    channel
+        .config()
+        .setRecvByteBufAllocator(
+            new AdaptiveRecvByteBufAllocator(
+                    MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
+                .maxMessagesPerRead(1));
+    return install(channel.pipeline(), server, connectionNumber, listener);
   }
 
   static ResponseByteGuard install(
@@ -111,20 +105,8 @@
     return guard;
   }
 
-  /**
-   * Returns the guard of a connection.
-   *
-   * @param connection the connection
-   * @return the guard, or empty if the connection is closed
-   */
-  public static Optional<ResponseByteGuard> of(ReservedStreamingHttpConnection connection) {
-    return connection.connectionContext() instanceof NettyConnectionContext context
-        ? Optional.ofNullable(context.nettyChannel().pipeline().get(ResponseByteGuard.class))
-        : Optional.empty();
-  }
-
   /** Reads until a request is sent, to notice the end of an idle connection. */
-  public void watchIdle() {
+  void watchIdle() {
     ChannelHandlerContext current = context;
     if (current != null) {
       current.read();
@@ -136,14 +118,24 @@
     context = added;
   }
 
-  /** Returns the number of the connection, unique in the process. */
-  long connectionNumber() {
-    return connectionNumber;
+  /** Returns whether neither side is known to have closed the connection. */
+  boolean isOpen() {
+    ChannelHandlerContext current = context;
+    return current != null && current.channel().isActive();
   }
 
-  /** Returns the number of requests sent on the connection so far. */
-  int requestCount() {
-    return requestCount.get();
+  /**
+   * Returns whether a byte of a request has been written.
+   *
+   * @param number number of the request on this connection, from 1
+   */
+  boolean isWritten(int number) {
+    return writtenRequests >= number;
+  }
+
+  /** Returns the number of bytes received that belong to no response. */
+  long extraBytes() {
+    return extraBytes.get();
   }
 
   /**
@@ -171,12 +163,7 @@
   boolean onResponseEnd() {
     ResponseScanner read = scanner;
     scanner = null;
-    return read != null && read.state() == MessageScanner.State.COMPLETE && !hasExtraBytes;
-  }
-
-  /** Returns whether bytes were received that belong to no response. */
-  boolean hasExtraBytes() {
-    return hasExtraBytes;
+    return read != null && read.state() == MessageScanner.State.COMPLETE && extraBytes.get() == 0;
   }
 
   /**
@@ -191,6 +178,7 @@
     if (next != null && message instanceof ByteBuf bytes && bytes.isReadable()) {
       announced = null;
       scanner = next;
+      writtenRequests = requestCount.get();
     }
     super.write(current, message, promise);
   }
@@ -236,7 +224,7 @@
   }
 
   private void report(ExtraBytes.Position position, int count) {
-    hasExtraBytes = true;
+    extraBytes.addAndGet(count);
     listener.onExtraBytes(
         new ExtraBytes(server, connectionNumber, requestCount.get(), position, count));
   }
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/BackendConnectionPoolTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -19,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.kumquatvane.core.SocketEndpoint;
+import org.kumquatvane.http.internal.BackendConnection;
 import org.kumquatvane.testing.SimulatedClock;
 
 /**
@@ -46,7 +46,7 @@
     try (BackendConnectionPool pool =
         new BackendConnectionPool(new SimulatedClock(), SETTINGS, null, extraBytes -> {})) {
       for (int i = 0; i < failedAttempts; i++) {
-        Future<ReservedStreamingHttpConnection> refused = open(pool, endpoint);
+        Future<BackendConnection> refused = open(pool, endpoint);
         assertThrows(ExecutionException.class, () -> refused.get(LIMIT_SECONDS, TimeUnit.SECONDS));
       }
       try (ServerSocket returned = listen(port)) {
@@ -67,9 +67,9 @@
         BackendConnectionPool pool =
             new BackendConnectionPool(new SimulatedClock(), SETTINGS, null, extraBytes -> {})) {
       SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", instance.getLocalPort());
-      Future<ReservedStreamingHttpConnection> opening = open(pool, endpoint);
+      Future<BackendConnection> opening = open(pool, endpoint);
       try (Socket accepted = instance.accept()) {
-        ReservedStreamingHttpConnection connection = opening.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        BackendConnection connection = opening.get(LIMIT_SECONDS, TimeUnit.SECONDS);
         pool.release(endpoint, connection, Optional.empty());
         accepted.getOutputStream().write(lateBytes.getBytes(StandardCharsets.US_ASCII));
         if (lateBytes.isEmpty()) {
@@ -89,7 +89,7 @@
         BackendConnectionPool pool =
             new BackendConnectionPool(new SimulatedClock(), SETTINGS, null, extraBytes -> {})) {
       SocketEndpoint endpoint = new SocketEndpoint("127.0.0.1", instance.getLocalPort());
-      ReservedStreamingHttpConnection connection =
+      BackendConnection connection =
           pool.open(endpoint, 1).orElseThrow().toFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
       if (isIdle) {
         pool.release(endpoint, connection, Optional.empty());
@@ -105,7 +105,7 @@
     return socket;
   }
 
-  private static Future<ReservedStreamingHttpConnection> open(
+  private static Future<BackendConnection> open(
       BackendConnectionPool pool, SocketEndpoint endpoint) {
     return pool.open(endpoint, MAXIMUM_CONNECTIONS).orElseThrow().toFuture();
   }
