Let the VM's own record decide that a request was not written

An attempt counted as not run when the HTTP library reported its failure as retryable; the VM sent an unsafe request again on that type alone, with no record of its own and nothing that kept back a later write.

Change: RequestWrite decides once whether the writing of a request is begun or withdrawn, whichever comes first. ResponseByteGuard, the handler next to the transport, begins it with the first byte and fails all writes after a withdrawal. BackendAttempt reports CONNECT_FAILED after a failed send only if the withdrawal succeeded; the type of the failure is no longer looked at. A write to a closed channel does not begin the request, since no byte of it can be sent.

ResponseByteGuardTest passes, with 3 new cases.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -10,7 +10,6 @@
 import io.servicetalk.http.api.HttpHeaderValues;
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.transport.api.RetryableException;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -121,13 +120,13 @@
             exchange.isHeadRequest(),
             requests -> exchange.backendRequest(requests, plan, remainingMillis)),
         this::onHeadReceived,
-        failure -> onRequestFailed(opened, failure));
+        failure -> onRequestFailed(opened));
   }
 
-  private void onRequestFailed(BackendConnection used, Throwable failure) {
+  private void onRequestFailed(BackendConnection used) {
+    boolean isUnwritten = used.withdrawRequest();
     discardConnection();
-    if (failure instanceof RetryableException) {
-      // ServiceTalk reports failures before the first write as retryable.
+    if (isUnwritten) {
       connections.discardIdle(endpoint);
       listener.onFailure(AttemptFailure.CONNECT_FAILED, false);
       return;
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendConnection.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendConnection.java
@@ -58,7 +58,7 @@
    * @param id the request
    * @param isHeadRequest whether its response has no body
    * @param request creates the request
-   * @return the response; its failure is a {@code RetryableException} if nothing was written
+   * @return the response; after its failure, {@link #withdrawRequest} tells whether it was written
    * @throws IllegalStateException if the connection has carried the request or can carry no more
    */
   public Single<StreamingHttpResponse> send(
@@ -70,6 +70,16 @@
     return connection.request(request.apply(connection));
   }
 
+  /**
+   * Withdraws the last request, unless a byte of it has been written. After a withdrawal the
+   * connection carries no other request.
+   *
+   * @return whether no byte of the request has been written, and none ever will be
+   */
+  boolean withdrawRequest() {
+    return guard.withdrawRequest();
+  }
+
   /** Returns whether the connection has carried a request with this ID. */
   boolean hasCarried(RequestId id) {
     return carried.contains(id);
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
@@ -54,11 +55,8 @@
   private volatile int bytesWithoutProgress;
   private volatile @Nullable ChannelHandlerContext context;
 
-  /**
-   * Scanner for the response to a request of which nothing has been written yet; set by the thread
-   * that sends the request, taken by the event loop.
-   */
-  private volatile @Nullable ResponseScanner announced;
+  /** The last request; null before the first one. Only the event loop begins to write it. */
+  private volatile @Nullable RequestWrite request;
 
   /**
    * Scanner of the response that is being read; null while no response may come. Only the event
@@ -142,11 +140,27 @@
    * Called before a request is sent.
    *
    * @param isHeadRequest whether its response has no body
+   * @throws IllegalStateException if a request has been withdrawn; its bytes would be let through
    */
   void onRequest(boolean isHeadRequest) {
+    RequestWrite previous = request;
+    if (previous != null && previous.isWithdrawn()) {
+      throw new IllegalStateException("a request on this connection has been withdrawn");
+    }
     bytesWithoutProgress = 0;
     requestCount.incrementAndGet();
-    announced = new ResponseScanner(isHeadRequest);
+    request = new RequestWrite(new ResponseScanner(isHeadRequest));
+  }
+
+  /**
+   * Withdraws the last request, unless a byte of it has been written. After a withdrawal the
+   * connection writes nothing further.
+   *
+   * @return whether no byte of the request has been written, and none ever will be
+   */
+  boolean withdrawRequest() {
+    RequestWrite last = request;
+    return last != null && last.withdraw();
   }
 
   /** Called when a response head or a part of a body has been received. */
@@ -169,16 +183,23 @@
   /**
    * Expects the response from the first byte of the request on, and none before it. The first write
    * after {@link #onRequest} is that byte, since a response ends only after its own request has
-   * been written.
+   * been written. Fails the writes of a withdrawn request. A closed channel writes nothing, so a
+   * request is not begun there.
    */
   @Override
   public void write(ChannelHandlerContext current, Object message, ChannelPromise promise)
       throws Exception {
-    ResponseScanner next = announced;
-    if (next != null && message instanceof ByteBuf bytes && bytes.isReadable()) {
-      announced = null;
-      scanner = next;
-      writtenRequests = requestCount.get();
+    RequestWrite writing = request;
+    boolean hasBytes = !(message instanceof ByteBuf bytes) || bytes.isReadable();
+    if (writing != null && hasBytes && current.channel().isActive()) {
+      if (writing.begin()) {
+        scanner = writing.scanner();
+        writtenRequests = requestCount.get();
+      } else if (writing.isWithdrawn()) {
+        ReferenceCountUtil.release(message);
+        promise.tryFailure(new ClosedChannelException());
+        return;
+      }
     }
     super.write(current, message, promise);
   }
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseByteGuardTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseByteGuardTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.http.ExtraBytes;
@@ -105,6 +106,20 @@
     return Stream.of(false, true);
   }
 
+  /** A request that counts as not written must never reach the server. */
+  @ParameterizedTest
+  @CsvSource({"false, '', true", "false, G, false", "true, G, true"})
+  void withdrawnRequestIsNeverWritten(boolean isClosed, String begun, boolean isWithdrawn) {
+    guard.onRequest(false);
+    if (isClosed) {
+      channel.close();
+    }
+    channel.writeAndFlush(buffer(begun));
+    assertEquals(isWithdrawn, guard.withdrawRequest());
+    assertEquals(!isWithdrawn, channel.writeAndFlush(buffer("ET / HTTP/1.1\r\n")).isSuccess());
+    assertEquals(!isWithdrawn, guard.isWritten(1));
+  }
+
   private void sendRequest() {
     guard.onRequest(false);
     channel.writeOutbound(buffer("GET / HTTP/1.1\r\n\r\n"));
