--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseByteGuardTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseByteGuardTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.kumquatvane.core.RequestId;
 import org.kumquatvane.core.SocketEndpoint;
@@ -179,6 +180,20 @@
             new ExpectedResponse(new RequestId("r-2"), false, ID_FIELD), carried));
   }
 
+  /** A request that counts as not written must never reach the server. */
+  @ParameterizedTest
+  @CsvSource({"false, '', true", "false, G, false", "true, G, true"})
+  void withdrawnRequestIsNeverWritten(boolean isClosed, String begun, boolean isWithdrawn) {
+    announceRequest();
+    if (isClosed) {
+      channel.close();
+    }
+    channel.writeAndFlush(buffer(begun));
+    assertEquals(isWithdrawn, guard.withdrawRequest());
+    assertEquals(!isWithdrawn, channel.writeAndFlush(buffer("ET / HTTP/1.1\r\n")).isSuccess());
+    assertEquals(!isWithdrawn, guard.isWritten(1));
+  }
+
   private void sendRequest() {
     announceRequest();
     channel.writeOutbound(buffer("GET / HTTP/1.1\r\n\r\n"));
