--- a/kumquatvane-standins/src/main/java/org/kumquatvane/standins/BackendParameter.java
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/BackendParameter.java
@@ -20,6 +20,8 @@
   COLD_FACTOR(4),
   /** Whether the instance is draining, as its responses and its health endpoint report. */
   DRAINING(0),
+  /** Whether every response names the request that it answers. */
+  ECHO_REQUEST_ID(1),
   /** Whether the health endpoint returns 200 in every state. */
   HEALTH_LIES(0),
   /**
--- a/kumquatvane-standins/src/main/java/org/kumquatvane/standins/BackendStandIn.java
+++ b/kumquatvane-standins/src/main/java/org/kumquatvane/standins/BackendStandIn.java
@@ -39,6 +39,7 @@
   public static final int MAXIMUM_CONNECTIONS = 350;
 
   private static final String CRASH_MARKER = "crash-instance";
+  private static final String REQUEST_ID = "kumquatvane-request-id";
   private static final int CHUNK_BYTES = 65_536;
   private static final byte[] FILLER =
       " ".repeat(CHUNK_BYTES).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
@@ -194,7 +195,22 @@
       return Single.succeeded(
           Responses.withBody(responses, 200, Responses.renderJson(this::writeState)));
     }
-    return request.toRequest().flatMap(whole -> processRequest(context, whole, responses));
+    return request
+        .toRequest()
+        .flatMap(
+            whole ->
+                processRequest(context, whole, responses)
+                    .map(response -> nameRequest(whole, response)));
+  }
+
+  private StreamingHttpResponse nameRequest(HttpRequest request, StreamingHttpResponse response) {
+    CharSequence requestId = request.headers().get(REQUEST_ID);
+    if (!isEnabled(BackendParameter.ECHO_REQUEST_ID)) {
+      response.headers().remove(REQUEST_ID);
+    } else if (requestId != null && !response.headers().contains(REQUEST_ID)) {
+      response.setHeader(REQUEST_ID, requestId);
+    }
+    return response;
   }
 
   /**
@@ -296,7 +312,7 @@
     if (responseMode == ResponseMode.ERROR) {
       return addHeaderIfDraining(Responses.withText(responses, 500, "internal error"));
     }
-    CharSequence receivedId = request.headers().get("kumquatvane-request-id");
+    CharSequence receivedId = request.headers().get(REQUEST_ID);
     String requestId = receivedId == null ? "" : receivedId.toString();
     if (responseMode == ResponseMode.CROSS) {
       requestId = previousRequestId();
@@ -314,7 +330,7 @@
     response.setHeader("content-type", "application/json");
     response.setHeader("content-length", Long.toString(length));
     if (receivedId != null) {
-      response.setHeader("Kumquatvane-Request-Id", requestId);
+      response.setHeader(REQUEST_ID, requestId);
     }
     if (responseMode == ResponseMode.TRUNCATE) {
       return response.payloadBody(
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/FaultProxy.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/FaultProxy.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.verification.process;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -27,6 +28,7 @@
   private boolean blocksToTarget;
   private boolean blocksToCaller;
   private long delayMillis;
+  private boolean repeatsResponses;
 
   public FaultProxy(int targetPort) throws IOException {
     this.targetPort = targetPort;
@@ -50,6 +52,14 @@
     changeFaults(() -> delayMillis = millis);
   }
 
+  /**
+   * Writes the bytes sent to the caller since its last request once more when its next request
+   * arrives, and then forwards that request.
+   */
+  void repeatResponses() {
+    changeFaults(() -> repeatsResponses = true);
+  }
+
   /** Blackholes the open connections permanently; new connections work. */
   public void blackholeOpenConnections() {
     changeFaults(() -> connections.forEach(connection -> connection.isBlackholed = true));
@@ -120,6 +130,12 @@
       for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
         byte[] bytes = Arrays.copyOf(buffer, count);
         awaitUnblocked(connection, toTarget);
+        if (!toTarget) {
+          connection.response.writeBytes(bytes);
+        } else if (repeatsResponses) {
+          connection.caller.getOutputStream().write(connection.response.toByteArray());
+          connection.response.reset();
+        }
         output.write(bytes);
         output.flush();
       }
@@ -180,6 +196,7 @@
   private static final class ProxiedConnection {
     final Socket caller;
     final Socket target;
+    final ByteArrayOutputStream response = new ByteArrayOutputStream();
     volatile boolean isBlackholed;
 
     ProxiedConnection(Socket caller, Socket target) {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Fleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/Fleet.java
@@ -70,6 +70,19 @@
         vm::log);
   }
 
+  /** Waits until a VM accepts bookings; before its first agreed view it refuses them. */
+  void awaitBooking(EntryVm vm) {
+    Conditions.await(
+        vm.id() + " accepts bookings",
+        () -> {
+          try (CallerConnection caller = new CallerConnection(vm.callerPort())) {
+            String operation = TestKeys.newOperationKey();
+            return caller.post("/rota/bookings", key("alpha"), operation, "{}").status() == 200;
+          }
+        },
+        vm::log);
+  }
+
   PlatformStandIn platform() {
     return platform;
   }
@@ -97,6 +110,13 @@
         .count();
   }
 
+  /** Counts the requests with a target that started to run, over all instances. */
+  long countStarted(String target) {
+    return receivedRequests().stream()
+        .filter(request -> request.target().equals(target) && request.hasStarted())
+        .count();
+  }
+
   /** Replaces the key of a workspace. */
   void replaceKey(String workspace, String key) {
     keysByWorkspace.put(workspace, key);
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/LifecycleProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/LifecycleProcessTest.java
@@ -24,7 +24,7 @@
   @CsvSource({"GET, 256", "GET, 5000000", "POST, 256"})
   void requestInFlightCompletesDuringPlannedStop(String method, int bytes) throws Exception {
     try (Fleet fleet = new Fleet(2, 1).start()) {
-      awaitBooking(fleet);
+      fleet.awaitBooking(fleet.vm(0));
       String target = "/rota/bookings?workMillis=2000&answerBytes=" + bytes;
       try (CallerConnection caller = connect(fleet, 0)) {
         if (method.equals("GET")) {
@@ -32,7 +32,7 @@
         } else {
           caller.sendPost(target, fleet.key("alpha"), TestKeys.newOperationKey(), "{}");
         }
-        Conditions.await("work began", () -> countRuns(fleet, target) == 1);
+        Conditions.await("work began", () -> fleet.countStarted(target) == 1);
         fleet.vm(0).terminate();
         RawResponse response = caller.readResponse();
         assertEquals(200, response.status(), response::toString);
@@ -40,7 +40,7 @@
         assertTrue(response.body().length >= bytes);
       }
       assertEquals(0, fleet.vm(0).awaitExitCode(), fleet.vm(0)::log);
-      assertEquals(1, countRuns(fleet, target));
+      assertEquals(1, fleet.countStarted(target));
     }
   }
 
@@ -63,7 +63,7 @@
           assertEquals(200, caller.get("/rota/granted", granted).status());
         }
       }
-      assertEquals(0, countRuns(fleet, "/rota/after"));
+      assertEquals(0, fleet.countStarted("/rota/after"));
     }
   }
 
@@ -165,30 +165,10 @@
         fleet.vm(vm)::log);
   }
 
-  private static void awaitBooking(Fleet fleet) {
-    Conditions.await(
-        "bookings are accepted",
-        () -> {
-          try (CallerConnection caller = connect(fleet, 0)) {
-            return caller
-                    .post("/rota/bookings", fleet.key("alpha"), TestKeys.newOperationKey(), "{}")
-                    .status()
-                == 200;
-          }
-        },
-        fleet.vm(0)::log);
-  }
-
   private static long countStartedRequests(Fleet fleet, int backend) {
     return fleet.backend(backend).requests().stream().filter(ReceivedRequest::hasStarted).count();
   }
 
-  private static long countRuns(Fleet fleet, String target) {
-    return fleet.receivedRequests().stream()
-        .filter(entry -> entry.target().equals(target) && entry.hasStarted())
-        .count();
-  }
-
   private static String bearer(Fleet fleet) {
     return "Authorization: Bearer " + fleet.key("alpha");
   }
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/OperationsProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/process/OperationsProcessTest.java
@@ -26,15 +26,7 @@
   @BeforeAll
   static void start() throws IOException {
     FLEET.start();
-    // A fleet that has just started responds "outcome unknown" until it has an agreed view.
-    Conditions.await(
-        "bookings are accepted",
-        () -> {
-          try (CallerConnection caller = connect(0)) {
-            return caller.post(TARGET, KEY, TestKeys.newOperationKey(), "{}").status() == 200;
-          }
-        },
-        FLEET.vm(0)::log);
+    FLEET.awaitBooking(FLEET.vm(0));
   }
 
   @AfterAll
