--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
@@ -40,6 +40,7 @@
     private final Socket socket;
     private final OutputStream bytes;
     private int requests;
+    private String expectedInstance = "";
 
     private Output(Socket socket) throws IOException {
       this.socket = socket;
@@ -51,6 +52,11 @@
       return requests;
     }
 
+    /** Returns the instance to which the VM addressed the last request. */
+    String expectedInstance() {
+      return expectedInstance;
+    }
+
     /** Ends the connection with a reset. */
     void reset() throws IOException {
       socket.setSoLinger(true, 0);
@@ -129,6 +135,9 @@
         if (line.toLowerCase(Locale.ROOT).startsWith("x-request-id:")) {
           requestId = line.substring(line.indexOf(':') + 1).trim();
         }
+        if (line.toLowerCase(Locale.ROOT).startsWith("x-expect-instance:")) {
+          output.expectedInstance = line.substring(line.indexOf(':') + 1).trim();
+        }
         if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
           bodyBytes = Long.parseLong(line.substring(line.indexOf(':') + 1).trim());
         }
