Give the use of a connection by an attempt a class of its own

AttemptConnection has what belongs to the connection: sending, the trace, the release and the end, whichever comes first.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -13,8 +13,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.AttemptFailure;
@@ -53,9 +51,7 @@
   private final AttemptPlan plan;
   private final SocketEndpoint endpoint;
   private final AttemptListener listener;
-  private final AtomicBoolean connectionEnded = new AtomicBoolean();
-  private final AtomicLong bodyBytes = new AtomicLong();
-  private volatile @Nullable BackendConnection connection;
+  private volatile @Nullable AttemptConnection connection;
   private volatile @Nullable StreamingHttpResponse response;
   private volatile @Nullable Cancellable pending;
   private volatile boolean cancelled;
@@ -65,11 +61,6 @@
 
   private volatile boolean isReceived;
 
-  /** Number of this request on its connection, from 1; 0 before it is sent. */
-  private volatile int requestNumber;
-
-  private volatile boolean wasCarriedBefore;
-
   /** Whether the response names the request. */
   private volatile boolean isNamed;
 
@@ -107,38 +98,34 @@
   }
 
   private void send(BackendConnection opened) {
-    connection = opened;
+    AttemptConnection used = new AttemptConnection(connections, endpoint, opened);
+    connection = used;
     if (cancelled) {
-      // Nothing was written, so the connection can be reused.
-      releaseConnection();
+      used.releaseUnused();
       return;
     }
-    wasCarriedBefore = opened.hasCarried(plan.request());
-    requestNumber = opened.requestCount() + 1;
     long remainingMillis =
         TimeUnit.NANOSECONDS.toMillis(plan.deadline().nanos() - System.nanoTime());
     subscribe(
-        opened.send(
+        used.send(
             new ExpectedResponse(
                 plan.request(), exchange.isHeadRequest(), exchange.dialect().requestIdField()),
             requests -> exchange.backendRequest(requests, plan, remainingMillis)),
-        this::onHeadReceived,
-        failure -> onRequestFailed(opened));
+        received -> onHeadReceived(used, received),
+        failure -> onRequestFailed(used));
   }
 
-  private void onRequestFailed(BackendConnection used) {
+  private void onRequestFailed(AttemptConnection used) {
     boolean isUnwritten = used.withdrawRequest();
-    discardConnection();
+    used.discard();
     if (isUnwritten) {
       connections.discardIdle(endpoint);
       listener.onFailure(AttemptFailure.CONNECT_FAILED, false);
-      return;
-    }
-    if (used.guard().extraBytes() > 0) {
+    } else if (used.hasExtraBytes()) {
       listener.onFailure(AttemptFailure.ANSWER_INCOMPLETE, false);
-      return;
+    } else {
+      probeInstance();
     }
-    probeInstance();
   }
 
   /** Opens a new connection to distinguish a lost connection from a lost instance. */
@@ -158,9 +145,9 @@
         failure -> listener.onFailure(AttemptFailure.CONNECTION_LOST, true));
   }
 
-  private void onHeadReceived(StreamingHttpResponse received) {
+  private void onHeadReceived(AttemptConnection used, StreamingHttpResponse received) {
     response = received;
-    noteProgress();
+    used.onHead();
     ResponseCheck check = exchange.dialect().checkResponse(received, plan, hasBody(received));
     if (check instanceof ResponseCheck.Unusable unusable) {
       abandonResponse(received);
@@ -170,7 +157,7 @@
     ResponseCheck.Usable usable = (ResponseCheck.Usable) check;
     isNamed = usable.namesRequest();
     ResponseHead head = usable.head();
-    if (head.notRun() && !isNamed && requestNumber > 1) {
+    if (head.notRun() && !isNamed && used.hasCarriedOthers()) {
       // The statement may be about another request of this connection.
       abandonResponse(received);
       listener.onFailure(AttemptFailure.ANSWER_CROSSED, false);
@@ -249,9 +236,9 @@
       body.clear();
     }
     reservation.release();
-    if (connection != null && !connectionEnded.get()) {
+    AttemptConnection used = connection;
+    if (used != null && used.discard()) {
       // The connection may have stopped responding; idle connections opened before it may have too.
-      discardConnection();
       connections.discardIdle(endpoint);
     }
   }
@@ -298,20 +285,13 @@
   @Override
   public AttemptTrace trace() {
     StreamingHttpResponse received = response;
-    BackendConnection used = connection;
-    int number = requestNumber;
-    if (used == null || number == 0) {
+    AttemptConnection used = connection;
+    if (used == null) {
       return AttemptTrace.NONE;
     }
-    return new AttemptTrace(
-        used.number(),
-        number,
-        wasCarriedBefore,
-        used.guard().isWritten(number),
-        received == null ? 0 : received.status().code(),
-        received == null ? OptionalLong.empty() : declaredLength(received),
-        bodyBytes.get(),
-        used.guard().extraBytes());
+    return received == null
+        ? used.trace(0, OptionalLong.empty())
+        : used.trace(received.status().code(), declaredLength(received));
   }
 
   @Override
@@ -348,14 +328,9 @@
   }
 
   private void onBodyPart(Buffer part) {
-    bodyBytes.addAndGet(part.readableBytes());
-    noteProgress();
-  }
-
-  private void noteProgress() {
-    BackendConnection used = connection;
+    AttemptConnection used = connection;
     if (used != null) {
-      used.guard().onProgress();
+      used.onBodyPart(part);
     }
   }
 
@@ -366,21 +341,12 @@
   }
 
   private void releaseConnection() {
-    BackendConnection used = connection;
-    if (used == null || !connectionEnded.compareAndSet(false, true)) {
-      return;
-    }
+    AttemptConnection used = connection;
     StreamingHttpResponse received = response;
-    if (received == null) {
-      connections.release(endpoint, used, Optional.empty());
-    } else if (used.guard().onResponseEnd()
-        && isNamed
-        && used.canCarryMore()
-        && !closesConnection(received)) {
+    if (used != null && received != null) {
       // A late copy of a response without a name would be taken for that to the next request.
-      connections.release(endpoint, used, KeepAlive.idleTimeout(received.headers()));
-    } else {
-      connections.discard(endpoint, used);
+      used.release(
+          isNamed && !closesConnection(received), KeepAlive.idleTimeout(received.headers()));
     }
   }
 
@@ -395,9 +361,9 @@
   }
 
   private void discardConnection() {
-    BackendConnection used = connection;
-    if (used != null && connectionEnded.compareAndSet(false, true)) {
-      connections.discard(endpoint, used);
+    AttemptConnection used = connection;
+    if (used != null) {
+      used.discard();
     }
   }
 
