Count unsafe requests that ran twice in the load of second responses

The load of second responses could not show it: ResponseComparison did not count runs, looked at a "not run" status only in responses without signature, and knew of a run only once its response was decided. Copies of refusals were often replaced by a later second response before the repeat of their request arrived.

Change: the comparison fails on an unsafe request that ran more than once, and on 408, 421, 429 or 503 for one that ran, then or later, whoever wrote the response. A run counts from its start. RepeatingInstance writes the copy of a refusal before the response to the repeat of the same request on the connection, can change its id at its address (it refuses requests that name the earlier id with 421), and can close its socket and connections for a time. The row "returns" does all three on two instances and four VMs.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RepeatingInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RepeatingInstance.java
@@ -30,7 +30,8 @@
 /**
  * An instance that writes a part of its responses a second time, whole: at once, late, or around
  * the response to the next request of the connection. The second response is a copy, or has the
- * same request id and another status.
+ * same request id and another status. A refusal without one is copied before the response to the
+ * repeat. The instance can also change its id, and leave its address for a time.
  */
 final class RepeatingInstance implements AutoCloseable {
   private static final int PERCENT = 100;
@@ -53,7 +54,9 @@
   private final long seed;
   private final Semaphore slots;
   private final int announcedSlots;
-  private final ServerSocket server;
+  private volatile ServerSocket server;
+  private volatile Future<?> accepting;
+  private volatile String listedName;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
   private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
@@ -114,8 +117,30 @@
     this.seed = seed;
     this.slots = new Semaphore(slots);
     this.announcedSlots = announcedSlots;
+    listedName = name;
     server = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
-    threads.execute(this::acceptConnections);
+    accepting = threads.submit(this::acceptConnections);
+  }
+
+  String listedName() {
+    return listedName;
+  }
+
+  /** Takes another id at the same address, refuses the earlier one from now on and returns it. */
+  String rename(int number) {
+    String earlier = listedName;
+    listedName = name + "-" + number;
+    return earlier;
+  }
+
+  /** Closes all connections and refuses new ones for a time. */
+  void leaveAddress(int millis) throws Exception {
+    closeSockets();
+    // The port is free only when no thread waits for a connection to it.
+    accepting.get();
+    Thread.sleep(millis);
+    server = new ServerSocket(server.getLocalPort(), 128, InetAddress.getLoopbackAddress());
+    accepting = threads.submit(this::acceptConnections);
   }
 
   String storeEntry(String service) {
@@ -126,9 +151,10 @@
   }
 
   private void acceptConnections() {
-    while (!server.isClosed()) {
+    ServerSocket opened = server;
+    while (!opened.isClosed()) {
       try {
-        Socket socket = server.accept();
+        Socket socket = opened.accept();
         socket.setTcpNoDelay(true);
         threads.execute(() -> serve(socket));
       } catch (IOException closed) {
@@ -155,9 +181,13 @@
 
   @Override
   public void close() throws IOException {
-    server.close();
     timer.shutdownNow();
     threads.shutdownNow();
+    closeSockets();
+  }
+
+  private void closeSockets() throws IOException {
+    server.close();
     for (Connection connection : connections) {
       connection.close();
     }
@@ -173,6 +203,7 @@
     private final Object writeLock = new Object();
     private int sequence;
     private @Nullable SecondResponse pending;
+    private final Map<String, SecondResponse> copiesToRepeats = new HashMap<>();
     private String cutBefore = "";
 
     private Connection(Socket socket, String connectionName, long connectionSeed)
@@ -187,11 +218,16 @@
     private void serveRequests() throws IOException, InterruptedException {
       while (!socket.isClosed()) {
         Map<String, String> head = readHead();
-        SecondResponse late = takePending(head.getOrDefault("x-request-id", ""));
+        String id = head.getOrDefault("x-request-id", "");
+        SecondResponse late = takePending(id);
         if (late != null && late.timing() != Timing.INSIDE_NEXT_RESPONSE) {
           writeSecond(late);
           late = null;
         }
+        SecondResponse copy = copiesToRepeats.remove(id);
+        if (copy != null) {
+          writeSecond(copy);
+        }
         readBody(head);
         handle(head, late);
       }
@@ -218,7 +254,7 @@
       if (head.getOrDefault("", "").contains("/healthz")) {
         String healthy =
             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Instance-Id: "
-                + name
+                + listedName
                 + "\r\nX-Request-Id: "
                 + id
                 + "\r\n\r\n";
@@ -226,13 +262,16 @@
         return;
       }
       ResponseRecords.Arrival arrival = records.addArrival(id, connectionName, sequence, cutBefore);
+      String expected = head.getOrDefault("x-expect-instance", listedName);
+      boolean isMisdirected = !expected.equals(listedName);
       boolean hasSlot = slots.tryAcquire();
       try {
-        boolean isRefused = !hasSlot || isChosen(faults.refusedPercent());
+        boolean isRefused = isMisdirected || !hasSlot || isChosen(faults.refusedPercent());
         if (!isRefused) {
+          arrival.markRun();
           Thread.sleep(chooseWorkMillis());
         }
-        respond(arrival, isRefused, late);
+        respond(arrival, isMisdirected ? 421 : isRefused ? 503 : chooseStatus(), late);
       } finally {
         if (hasSlot) {
           slots.release();
@@ -240,16 +279,20 @@
       }
     }
 
-    private void respond(
-        ResponseRecords.Arrival arrival, boolean isRefused, @Nullable SecondResponse late)
+    private void respond(ResponseRecords.Arrival arrival, int status, @Nullable SecondResponse late)
         throws IOException, InterruptedException {
-      int status = isRefused ? 503 : chooseStatus();
+      boolean isRefused = !arrival.hasRun();
       PlannedResponse first = plan(arrival, status, isRefused, chooseFraming(), "");
-      records.decideResponse(arrival, first, !isRefused);
+      records.decideResponse(arrival, first);
       boolean repeats =
           first.framing() != PlannedResponse.Framing.UNTIL_CLOSE
               && isChosen(isRefused ? faults.secondOfRefusalPercent() : faults.secondPercent());
       SecondResponse second = repeats ? planSecond(arrival, first) : null;
+      if (isRefused && second == null) {
+        Timing timing = Timing.BEFORE_RESPONSE_TO_REPEAT;
+        copiesToRepeats.put(
+            arrival.id(), new SecondResponse(first, timing, true, concatenate(first)));
+      }
       if (late != null) {
         arrival.markInterrupted();
       }
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/ResponseComparison.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/ResponseComparison.java
@@ -19,6 +19,15 @@
     if (!outcome.fault().isEmpty()) {
       return Optional.of("bytes that belong to no response");
     }
+    // A request may also run after its caller was answered or has left.
+    long runs =
+        records.arrivals(outcome.id()).stream().filter(ResponseRecords.Arrival::hasRun).count();
+    if (!outcome.isSafe() && runs > 1) {
+      return Optional.of("unsafe request ran more than once" + repeats(outcome));
+    }
+    if (!outcome.isSafe() && runs > 0 && NOT_RUN_STATUSES.contains(outcome.status())) {
+      return Optional.of("status says not run, but the request has run" + repeats(outcome));
+    }
     if (outcome.status() == 0) {
       return Optional.empty();
     }
@@ -29,14 +38,7 @@
     if (!outcome.signature().isEmpty()) {
       return mismatchOfSigned(outcome, isSuccess);
     }
-    if (isSuccess) {
-      return Optional.of("success without signature");
-    }
-    boolean hasRun =
-        records.arrivals(outcome.id()).stream().anyMatch(ResponseRecords.Arrival::hasRun);
-    return !outcome.isSafe() && hasRun && NOT_RUN_STATUSES.contains(outcome.status())
-        ? Optional.of("status says not run, but the request has run")
-        : Optional.empty();
+    return isSuccess ? Optional.of("success without signature") : Optional.empty();
   }
 
   private Optional<String> mismatchOfSigned(RecordingCaller.Outcome outcome, boolean isSuccess) {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/ResponseRecords.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/ResponseRecords.java
@@ -58,6 +58,11 @@
       return hasRun;
     }
 
+    /** Records that the instance began to work on the request, whatever becomes of its response. */
+    void markRun() {
+      hasRun = true;
+    }
+
     /** Describes a second response that the instance cut off before, or empty. */
     String cutBefore() {
       return cutBefore;
@@ -108,8 +113,7 @@
   }
 
   /** Records the response to a request; called before its first byte is written. */
-  void decideResponse(Arrival arrival, PlannedResponse response, boolean hasRun) {
-    arrival.hasRun = hasRun;
+  void decideResponse(Arrival arrival, PlannedResponse response) {
     arrival.status = response.status();
     arrival.body = BodyDigest.of(response.body());
     responses.put(response.signature(), arrival);
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/SecondResponseLoadTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/SecondResponseLoadTest.java
@@ -12,20 +12,24 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.kumquatvane.platform.trial.StoreStandIn;
 import org.kumquatvane.verification.process.Conditions;
 
 /**
  * Guards against a second response of an instance, written late, from which a caller gets a success
- * although the instance that ran its request gave another status.
+ * although the instance that ran its request gave another status, or by which a VM takes an unsafe
+ * request that runs for one that has not run.
  *
  * <p>{@code -Dsecond.seeds=1-40} or {@code 3,7} chooses the seeds, {@code -Dsecond.seconds} the
  * duration of each.
@@ -40,6 +44,11 @@
 
   private static final int SHOWN_MISMATCHES = 5;
 
+  /** A change of an instance while callers send requests. */
+  private interface Change {
+    void apply(RepeatingInstance instance, StoreStandIn store, Random random) throws Exception;
+  }
+
   /** The processes of a run, and the faults of its instances. */
   private record Deployment(
       String name,
@@ -85,6 +94,11 @@
     private static final Deployment HEADS_CUT_LATE =
         new Deployment(
             "heads-cut-late", 1, 3, 8, 12, 24, new RepeatingInstance.Faults(40, 40, 5, 40, 0, 80));
+
+    /** Few instances and many VMs, so that many refused requests return to an address. */
+    private static final Deployment RETURNS =
+        new Deployment(
+            "returns", 4, 2, 40, 40, 48, new RepeatingInstance.Faults(10, 0, 40, 0, 0, 0));
   }
 
   static LongStream seeds() {
@@ -100,8 +114,8 @@
     return seeds.stream().mapToLong(Long::longValue);
   }
 
-  /** Unless seeds are chosen, one is enough: most cut heads change a response. */
-  static LongStream seedsOfCutHeads() {
+  /** Unless seeds are chosen, one is enough: its faults meet most responses. */
+  static LongStream seedsOfFrequentFaults() {
     return System.getProperty("second.seeds") == null ? LongStream.of(1) : seeds();
   }
 
@@ -113,19 +127,53 @@
 
   /** The rest of a cut head and the next response must not form one response. */
   @ParameterizedTest
-  @MethodSource("seedsOfCutHeads")
+  @MethodSource("seedsOfFrequentFaults")
   void headCutOffAtOnceDoesNotChangeTheNextResponse(long seed) throws Exception {
     run(seed, Deployment.HEADS_CUT_AT_ONCE);
   }
 
   /** As above, but the cut head arrives while the next request waits. */
   @ParameterizedTest
-  @MethodSource("seedsOfCutHeads")
+  @MethodSource("seedsOfFrequentFaults")
   void headCutOffLateDoesNotChangeTheNextResponse(long seed) throws Exception {
     run(seed, Deployment.HEADS_CUT_LATE);
   }
 
-  private static void run(long seed, Deployment deployment) throws Exception {
+  /** The copy of a refusal must not answer the next attempt of its request, which runs. */
+  @ParameterizedTest
+  @MethodSource("seedsOfFrequentFaults")
+  void copyOfRefusalDoesNotRepeatRequestThatRuns(long seed) throws Exception {
+    run(
+        seed,
+        Deployment.RETURNS,
+        SecondResponseLoadTest::rename,
+        (instance, store, random) -> instance.leaveAddress(random.nextInt(80)));
+  }
+
+  /** The store lists the earlier name for some time, as after a start that it has not noticed. */
+  private static void rename(RepeatingInstance instance, StoreStandIn store, Random random)
+      throws InterruptedException {
+    String earlier = instance.rename(random.nextInt(Integer.MAX_VALUE));
+    store.put("servers/" + instance.listedName(), instance.storeEntry("doubles"));
+    Thread.sleep(random.nextInt(400));
+    store.remove("servers/" + earlier);
+  }
+
+  private static Void changeInstances(
+      List<RepeatingInstance> instances, StoreStandIn store, long seed, Change... changes)
+      throws Exception {
+    Random random = new Random(seed);
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(SECONDS);
+    while (System.nanoTime() < endNanos) {
+      Thread.sleep(random.nextInt(200));
+      for (Change change : changes) {
+        change.apply(instances.get(random.nextInt(instances.size())), store, random);
+      }
+    }
+    return null;
+  }
+
+  private static void run(long seed, Deployment deployment, Change... changes) throws Exception {
     ResponseRecords records = new ResponseRecords();
     Queue<RecordingCaller.Outcome> outcomes = new ConcurrentLinkedQueue<>();
     List<RepeatingInstance> instances = new ArrayList<>();
@@ -146,7 +194,11 @@
         }
         publish(fleet);
         awaitRoutes(fleet, deployment, outcomes, seed);
+        FutureTask<Void> changing =
+            new FutureTask<>(() -> changeInstances(instances, fleet.store(), seed, changes));
+        new Thread(changing, "instance-changes").start();
         sendRequests(fleet, deployment, outcomes, seed);
+        changing.get();
         verify(fleet, deployment, records, outcomes, seed);
       } finally {
         for (RepeatingInstance instance : instances) {
