Fail the load of second responses on a repeat on one connection

Change: every run also fails if a connection carried a request twice, since a copy of the first response can answer only such a repeat.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/SecondResponseLoadTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/SecondResponseLoadTest.java
@@ -332,6 +332,8 @@
         Map.of(),
         kinds,
         () -> summary + "\n" + String.join("\n", traces.subList(0, shown(traces.size()))));
+    // A copy of the first response can answer only a repeat on the same connection.
+    assertEquals(0, records.repeatsOnConnection(), summary);
     assertTrue(
         statuses.getOrDefault(200, 0) >= MINIMUM_SUCCESSES && records.secondsWritten() > 0,
         summary);
