--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RawInstance.java
@@ -57,6 +57,11 @@
       socket.close();
     }
 
+    /** Ends the direction to the VM only. */
+    void halfClose() throws IOException {
+      socket.shutdownOutput();
+    }
+
     @Override
     public void write(int value) throws IOException {
       bytes.write(value);
