--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/NotRunGroundsProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/NotRunGroundsProcessTest.java
@@ -14,7 +14,6 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.kumquatvane.verification.platform.RawInstance.Output;
@@ -135,7 +134,6 @@
         : "";
   }
 
-  @Tag("known-red")
   @ParameterizedTest
   @EnumSource(Answer.class)
   void requestThatRanDoesNotCountAsNotRun(Answer answer) {
