Report extra bytes before the response that they follow is passed on

A connection on which a response and extra bytes came in one read was used again: the read was passed on before its extra bytes were counted, and the end of the response releases the connection while the read is handled. The rest of a cut copy could then end the next request there, an unsafe one as 502.

Change: the guard collects the accepted parts of a read, reports, and then passes them on. An instance that ends is probed again also after a dropped response: only bytes for which the guard closed the connection keep the attempt from asking whether the instance is gone.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AttemptConnection.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/AttemptConnection.java
@@ -61,9 +61,9 @@
     return requestNumber > 1;
   }
 
-  /** Returns whether bytes were received that belong to no response. */
-  boolean hasExtraBytes() {
-    return connection.guard().extraBytes() > 0;
+  /** Returns whether the connection was closed for bytes that belong to no response. */
+  boolean hasInvalidBytes() {
+    return connection.guard().hasInvalidBytes();
   }
 
   /** Called when the head of the response has been received. */
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -121,7 +121,7 @@
     if (isUnwritten) {
       connections.discardIdle(endpoint);
       listener.onFailure(AttemptFailure.CONNECT_FAILED, false);
-    } else if (used.hasExtraBytes()) {
+    } else if (used.hasInvalidBytes()) {
       listener.onFailure(AttemptFailure.ANSWER_INCOMPLETE, false);
     } else {
       probeInstance();
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CarriedRequests.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/CarriedRequests.java
@@ -9,13 +9,14 @@
  * <p>Only hashes of their IDs are kept, since callers choose the IDs and their lengths. Two IDs
  * with one hash count as one request.
  *
- * <p>Not safe for use by several threads: a connection carries one request at a time, and changes
- * hands under the lock of its pool.
+ * <p>Not safe for use by several threads at once: a connection carries one request at a time and
+ * changes hands under the lock of its pool. The event loop reads while a response is received,
+ * after the request was added and before the next one is.
  */
 final class CarriedRequests {
   private static final int INITIAL_CAPACITY = 8;
 
-  /** Bounds the memory of a connection to 4 KB and the time of a look-up to a microsecond or so. */
+  /** Bounds the memory to 4 KB for each connection, and the length of a look-up. */
   private static final int MAXIMUM_COUNT = 1 << 10;
 
   private int[] hashes = new int[INITIAL_CAPACITY];
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseByteGuard.java
@@ -10,9 +10,10 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.SocketEndpoint;
 import org.kumquatvane.http.ExtraBytes;
@@ -28,6 +29,8 @@
  * unfinished {@code HTTP/1.1 200} and a complete {@code HTTP/1.1 500} make a success with the
  * fields and the body of the failure. The connection is closed.
  *
+ * <p>It also keeps a withdrawn request from being written: it sees the first byte of each request.
+ *
  * <p>It reads from idle connections, which ServiceTalk does not: Netty's NIO transport reports
  * neither such bytes nor the end of a connection to a channel that does not read.
  */
@@ -45,7 +48,10 @@
    */
   private static final int MAXIMUM_READ_BYTES = 8 << 10;
 
-  /** Maximum number of bytes of earlier responses that are dropped while one is awaited. */
+  /**
+   * Maximum number of bytes of earlier responses that are dropped while one is awaited: as much as
+   * a buffered response may have, since responses without end would keep the request waiting.
+   */
   private static final int MAXIMUM_DROPPED_BYTES = 128 << 10;
 
   private static final int MINIMUM_READ_BYTES = 512;
@@ -57,6 +63,7 @@
   private final AtomicInteger requestCount = new AtomicInteger();
   private final AtomicLong extraBytes = new AtomicLong();
   private volatile int bytesWithoutProgress;
+  private volatile boolean hasInvalidBytes;
   private volatile @Nullable ChannelHandlerContext context;
 
   /** The last request; null before the first one. Only the event loop begins to write it. */
@@ -143,7 +150,12 @@
     return writtenRequests >= number;
   }
 
-  /** Returns the number of bytes received that belong to no response. */
+  /** Returns whether the connection was closed for bytes that belong to no response. */
+  boolean hasInvalidBytes() {
+    return hasInvalidBytes;
+  }
+
+  /** Returns the number of bytes received that belong to no response, dropped ones included. */
   long extraBytes() {
     return extraBytes.get();
   }
@@ -222,18 +234,28 @@
       super.channelRead(current, message);
       return;
     }
-    boolean isResponse = acceptBytes(bytes, current::fireChannelRead);
-    bytes.release();
-    if (!isResponse) {
+    List<ByteBuf> accepted = new ArrayList<>(1);
+    boolean isValid;
+    try {
+      isValid = acceptBytes(bytes, accepted);
+    } finally {
+      bytes.release();
+    }
+    if (isValid) {
+      // The end of a response releases its connection, so all extra bytes must be known before.
+      accepted.forEach(current::fireChannelRead);
+    } else {
+      accepted.forEach(ByteBuf::release);
+      hasInvalidBytes = true;
       current.close();
     }
   }
 
   /**
-   * Passes the bytes of the response on; returns false if the connection must be closed, since
-   * others were received that are not known to end before a response.
+   * Finds the bytes of the response; returns false if the connection must be closed, since bytes
+   * were received that are not known to end before a response.
    */
-  private boolean acceptBytes(ByteBuf bytes, Consumer<ByteBuf> passOn) {
+  private boolean acceptBytes(ByteBuf bytes, List<ByteBuf> accepted) {
     EarlierResponseFilter response = reading;
     if (response == null) {
       report(ExtraBytes.Position.IDLE, bytes.readableBytes());
@@ -250,7 +272,7 @@
       return false;
     }
     long droppedBefore = response.droppedBytes();
-    int responseEnd = response.scan(bytes, passOn);
+    int responseEnd = response.scan(bytes, accepted::add);
     int dropped = (int) (response.droppedBytes() - droppedBefore);
     if (dropped > 0) {
       report(ExtraBytes.Position.EARLIER_RESPONSE, dropped);
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseByteGuardTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseByteGuardTest.java
@@ -4,7 +4,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -154,6 +157,37 @@
     }
   }
 
+  /**
+   * The end of a response releases its connection while the read that has brought it is still being
+   * handled. Extra bytes in that read must be known by then, or the connection is used again.
+   */
+  @ParameterizedTest
+  @MethodSource("readsWithOneEnd")
+  void extraBytesAreKnownAtTheEndOfResponse(String received, boolean isReusable) {
+    List<Boolean> reusable = new ArrayList<>();
+    channel
+        .pipeline()
+        .addLast(
+            new ChannelInboundHandlerAdapter() {
+              @Override
+              public void channelRead(ChannelHandlerContext current, Object message) {
+                ReferenceCountUtil.release(message);
+                reusable.add(guard.onResponseEnd());
+              }
+            });
+    carried.add(new RequestId("r-1"), false);
+    sendRequest();
+    read(received);
+    assertEquals(List.of(isReusable), reusable);
+  }
+
+  static Stream<Arguments> readsWithOneEnd() {
+    return Stream.of(
+        Arguments.of(OWN, true),
+        Arguments.of(OWN + "H", false),
+        Arguments.of(EARLIER + OWN, false));
+  }
+
   /** A connection on which bytes without end are dropped would never carry a response. */
   @Test
   void endlessEarlierResponsesCloseConnection() {
