--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/KumquatvaneDialect.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/KumquatvaneDialect.java
@@ -81,7 +81,7 @@
 
   @Override
   public String requestIdField() {
-    return HeaderNames.REQUEST_ID.toString();
+    return HeaderNames.REQUEST_ID;
   }
 
   @Override
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RepeatedRefusalProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/RepeatedRefusalProcessTest.java
@@ -63,6 +63,13 @@
     private final int refusals;
     private final int callers;
 
+    /**
+     * Creates a way back.
+     *
+     * @param instances instances of the service
+     * @param refusals attempts that are refused before one runs
+     * @param callers callers that send a request with the same id
+     */
     Return(int instances, int refusals, int callers) {
       this.instances = instances;
       this.refusals = refusals;
