Drop late responses to earlier requests behind entry only

Behind serve a request whose server answered with the ID of another one waited for its deadline, where it had been refused at once before.

Cause: EarlierResponseFilter takes a response that names an earlier request for a second one that comes before the own response. That is what the users' platform states of its instances; the servers behind serve promise nothing of the kind, and the response may be the only one.

Change: the dialect says in which field servers that may respond twice name the request; serve has none, so nothing is dropped there.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/HttpDialect.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/HttpDialect.java
@@ -53,11 +53,12 @@
       long remainingMillis);
 
   /**
-   * Returns the field in which a backend server names the request of its response.
+   * Returns the field in which backend servers that may respond to a request twice, the second time
+   * late, name the request. A response that names an earlier request is then followed by another.
    *
-   * @return name of the field, in lower case
+   * @return name of the field, in lower case; empty if such a response may be the only one
    */
-  String requestIdField();
+  String repeatedResponseIdField();
 
   /**
    * Checks the head of a backend server's response.
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/KumquatvaneDialect.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/KumquatvaneDialect.java
@@ -80,8 +80,8 @@
   }
 
   @Override
-  public String requestIdField() {
-    return HeaderNames.REQUEST_ID;
+  public String repeatedResponseIdField() {
+    return "";
   }
 
   @Override
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BackendAttempt.java
@@ -109,7 +109,9 @@
     subscribe(
         used.send(
             new ExpectedResponse(
-                plan.request(), exchange.isHeadRequest(), exchange.dialect().requestIdField()),
+                plan.request(),
+                exchange.isHeadRequest(),
+                exchange.dialect().repeatedResponseIdField()),
             requests -> exchange.backendRequest(requests, plan, remainingMillis)),
         received -> onHeadReceived(used, received),
         failure -> onRequestFailed(used));
