--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -43,6 +43,11 @@
     }
   }
 
+  /** A case: returns 1 if the rule was broken, 0 if it held and 2 if the case could not run. */
+  interface Case {
+    int run(Rig rig) throws Exception;
+  }
+
   static final String HOST = "127.0.0.1";
 
   private final long startNanos = System.nanoTime();
@@ -67,6 +72,23 @@
     note("trouble=" + trouble);
   }
 
+  /** Runs a case and exits with its result; a failure of the case itself is no broken rule. */
+  static void runAndExit(String[] arguments, Case toRun) {
+    int exit = 2;
+    try (Rig rig = new Rig(Path.of("."), Path.of(arguments[0]).resolve("record.txt"))) {
+      try {
+        exit = toRun.run(rig);
+      } catch (Exception | Error e) {
+        rig.note("the case could not run: " + e);
+        e.printStackTrace();
+      }
+      rig.note("exit " + exit);
+    } catch (Exception e) {
+      e.printStackTrace();
+    }
+    System.exit(exit);
+  }
+
   /** Writes a line to the record. */
   synchronized void note(String line) {
     record.println(String.format("%8.3f %s", elapsedSeconds(), line));
