--- a/review/standins-2/OddEntries.java
+++ b/review/standins-2/OddEntries.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.Random;
 
 /**
@@ -13,13 +12,8 @@
   private static final int ENDS_ALLOWED = 2;
   private static final double LENGTH_SECONDS = 40;
 
-  public static void main(String[] arguments) throws Exception {
-    int exit;
-    try (Rig rig = new Rig(Path.of("."), Path.of(arguments[0]).resolve("record.txt"))) {
-      exit = run(rig);
-      rig.note("exit " + exit);
-    }
-    System.exit(exit);
+  public static void main(String[] arguments) {
+    Rig.runAndExit(arguments, OddEntries::run);
   }
 
   private static int run(Rig rig) throws Exception {
