--- a/review/standins-2/UploadPastTimeout.java
+++ b/review/standins-2/UploadPastTimeout.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -18,14 +17,8 @@
   private static final int DEADLINE_MILLIS = 5_000;
   private static final int MOST_ALLOWED = 3;
 
-  public static void main(String[] arguments) throws Exception {
-    Path directory = Path.of(arguments[0]);
-    int exit;
-    try (Rig rig = new Rig(Path.of("."), directory.resolve("record.txt"))) {
-      exit = run(rig);
-      rig.note("exit " + exit);
-    }
-    System.exit(exit);
+  public static void main(String[] arguments) {
+    Rig.runAndExit(arguments, UploadPastTimeout::run);
   }
 
   private static int run(Rig rig) throws Exception {
