--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -18,7 +18,10 @@
 import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.core.VmId;
 import org.kumquatvane.distribution.internal.CallSchedule;
+import org.kumquatvane.distribution.internal.InquiryTimes;
+import org.kumquatvane.distribution.internal.ItemExchange;
 import org.kumquatvane.distribution.internal.ItemTable;
+import org.kumquatvane.distribution.internal.SourceContact;
 
 /**
  * Keeps this VM's copy of the source's items up to date with few calls to the source.
@@ -40,24 +43,20 @@
   private final RankedLock lock = new RankedLock(LockRank.DISTRIBUTION);
   private final ItemFeedSettings settings;
   private final ItemSource source;
-  private final Supplier<List<VmId>> peers;
   private final IntSupplier rank;
-  private final PeerSender sender;
   private final ItemListener listener;
   private final Clock clock;
   private final Scheduler scheduler;
   private final Counters counters;
   private final EventLog eventLog;
   private final OrderedEffects effects = new OrderedEffects();
-  private final ItemTable table = new ItemTable();
+  private final ItemTable table;
   private final CallSchedule calls;
-  private long confirmedNanos;
+  private final SourceContact contact;
+  private final ItemExchange exchange;
   private boolean caughtUp;
   private boolean closed;
-  private boolean sourceLost;
-  private String lastFailure = "";
-  private Deadline nextInquiry;
-  private Deadline recoveryWindowEnd;
+  private long reportedLeftOut;
   private boolean isWithheld;
   private boolean usesUnconfirmed;
   private Deadline withheldUntil;
@@ -67,6 +66,7 @@
    *
    * @param settings reader count and time limits
    * @param source the configuration source
+   * @param rules what is kept of the items that other VMs report
    * @param peers returns the other VMs of the failure domain
    * @param rank returns this VM's rank in the reader order of its failure domain, 0 for the first
    * @param sender sends to other VMs
@@ -79,6 +79,7 @@
   public ItemFeed(
       ItemFeedSettings settings,
       ItemSource source,
+      ItemRules rules,
       Supplier<List<VmId>> peers,
       IntSupplier rank,
       PeerSender sender,
@@ -89,20 +90,28 @@
       EventLog eventLog) {
     this.settings = settings;
     this.source = source;
-    this.peers = peers;
     this.rank = rank;
-    this.sender = sender;
     this.listener = listener;
     this.clock = clock;
     this.scheduler = scheduler;
     this.counters = counters;
     this.eventLog = eventLog;
+    table = new ItemTable(settings.maximumItemBytes(), rules::isEssential);
     calls = new CallSchedule(clock, counters);
-    Deadline now = new Deadline(clock.monotonicNanos());
-    confirmedNanos = now.nanos();
-    nextInquiry = now;
-    withheldUntil = now;
-    recoveryWindowEnd = now;
+    contact = new SourceContact(settings.staleAfter(), settings.recoveryWindow(), clock);
+    exchange =
+        new ItemExchange(
+            lock,
+            table,
+            new ItemExchange.Receiver(this::apply, effects::drain),
+            rules,
+            new InquiryTimes(clock, settings.retryDelay()),
+            peers,
+            sender,
+            clock,
+            scheduler,
+            counters);
+    withheldUntil = new Deadline(clock.monotonicNanos());
   }
 
   /**
@@ -120,8 +129,8 @@
    * @param dispatcher delivers received messages
    */
   public void registerHandlers(PeerDispatcher dispatcher) {
-    dispatcher.register(ItemsReport.class, this::onReport);
-    dispatcher.register(ItemsInquiry.class, this::onInquiry);
+    dispatcher.register(ItemsReport.class, exchange::onReport);
+    dispatcher.register(ItemsInquiry.class, exchange::onInquiry);
   }
 
   /** Starts reading. */
@@ -149,7 +158,7 @@
    * @return milliseconds
    */
   public long ageMillis() {
-    return lock.call(() -> (clock.monotonicNanos() - confirmedNanos) / 1_000_000);
+    return lock.call(() -> contact.ageNanos() / 1_000_000);
   }
 
   /** Repeated at each interval, whatever happens in it. */
@@ -194,7 +203,7 @@
         default -> {}
       }
     } catch (RuntimeException e) {
-      onFailure(e.toString());
+      onFailure(new SourceResponse.Unavailable(e.toString()));
     }
   }
 
@@ -217,12 +226,12 @@
         settings.staleAfter().toNanos()
             + (long) (currentRank - settings.readerCount() + 1)
                 * settings.takeoverStagger().toNanos();
-    return clock.monotonicNanos() - confirmedNanos > limit;
+    return contact.ageNanos() > limit;
   }
 
   private void onResponse(SourceResponse response) {
     if (response instanceof SourceResponse.Unavailable unavailable) {
-      onFailure(unavailable.detail());
+      onFailure(unavailable);
       return;
     }
     if (response instanceof SourceResponse.PartialSnapshot partial) {
@@ -247,47 +256,52 @@
       return;
     }
     List<ItemsReport> reports = new ArrayList<>();
-    lock.run(
-        () -> {
-          calls.onCallEnd();
-          long from = table.revision();
-          // Only the first read may lag.
-          boolean isConfirmation =
-              response instanceof SourceResponse.Changes || from != ItemTable.NO_REVISION;
-          if (response instanceof SourceResponse.Snapshot) {
-            calls.onReadEnd();
-          }
-          ItemTable.Update update =
-              response instanceof SourceResponse.Snapshot snapshot
-                  ? table.applySnapshot(snapshot.items(), snapshot.revision())
-                  : table.applyChanges(
-                      ((SourceResponse.Changes) response).items(),
-                      ((SourceResponse.Changes) response).revision());
-          recordConfirmation();
-          if (isConfirmation) {
-            notifyOfConfirmed(update.changed());
-          } else if (usesUnconfirmed) {
-            notifyListener(update.changed());
-          }
-          if (!update.changed().isEmpty() && response instanceof SourceResponse.Changes) {
-            calls.pause(settings.changePause());
-          }
-          if (from != ItemTable.NO_REVISION) {
-            // Other VMs lack what this one has used already from the first pages of a read.
-            reports.add(new ItemsReport(false, from, table.revision(), update.sinceRevision()));
-          }
-        });
+    lock.run(() -> reports.addAll(applyResponse(response)));
     try {
       effects.drain();
     } finally {
-      for (ItemsReport report : reports) {
-        peers.get().forEach(peer -> sender.send(peer, report));
-      }
+      exchange.send(reports);
       // Without changes the next watch starts now instead of at the next tick.
       startNextCall(true);
     }
   }
 
+  /** Applies a whole response and returns what to report to other VMs. */
+  private List<ItemsReport> applyResponse(SourceResponse response) {
+    calls.onCallEnd();
+    contact.onResponse();
+    long from = table.revision();
+    // Only the first read may lag.
+    boolean isConfirmation =
+        response instanceof SourceResponse.Changes || from != ItemTable.NO_REVISION;
+    ItemTable.Update update;
+    if (response instanceof SourceResponse.Snapshot snapshot) {
+      calls.onReadEnd();
+      update = table.applySnapshot(usable(snapshot.items()), snapshot.revision());
+    } else {
+      SourceResponse.Changes changes = (SourceResponse.Changes) response;
+      update = table.applyChanges(usable(changes.items()), changes.revision());
+      if (!update.changed().isEmpty()) {
+        calls.pause(settings.changePause());
+      }
+    }
+    recordConfirmation();
+    if (isConfirmation) {
+      notifyOfConfirmed(update.changed());
+    } else if (usesUnconfirmed) {
+      notifyListener(update.changed());
+    }
+    // Other VMs lack what this one has used already from the first pages of a read.
+    return from == ItemTable.NO_REVISION ? List.of() : exchange.split(from, update.sinceRevision());
+  }
+
+  /**
+   * Returns items as they are kept: a value that cannot be used names nothing, like a removed key.
+   */
+  private static List<SourceItem> usable(List<SourceItem> items) {
+    return items.stream().map(SourceItem::orRemoval).toList();
+  }
+
   /** Reads all items now, or at a later tick if the last such read was too recent. */
   private void requireFullRead() {
     lock.run(
@@ -303,7 +317,7 @@
     lock.run(
         () -> {
           calls.onPartialResponse();
-          List<SourceItem> changed = table.applyPartialSnapshot(part);
+          List<SourceItem> changed = table.applyPartialSnapshot(usable(part));
           if (caughtUp || usesUnconfirmed) {
             notifyListener(changed);
           } else if (!isWithheld) {
@@ -314,57 +328,56 @@
     effects.drain();
   }
 
-  private void onFailure(String detail) {
+  private void onFailure(SourceResponse.Unavailable failure) {
     counters.add("source.failures", 1);
-    List<VmId> knownPeers = peers.get();
     boolean[] sendInquiry = new boolean[1];
-    boolean[] isOtherFailure = new boolean[1];
-    boolean newlyLost =
+    SourceContact.FailureChange change =
         lock.call(
             () -> {
               calls.onCallEnd();
               calls.pause(settings.retryDelay());
-              sendInquiry[0] = !caughtUp && nextInquiry.isReached(clock);
+              sendInquiry[0] = !caughtUp && exchange.beginInquiry();
+              SourceContact.FailureChange result =
+                  contact.fail(failure.detail(), failure.hasBegun());
               // If changes cannot be watched, a read that does not lag confirms the items too.
-              if (!caughtUp && table.revision() != ItemTable.NO_REVISION) {
+              if (table.revision() != ItemTable.NO_REVISION
+                  && (!caughtUp || contact.isResponseUnreceivable())) {
                 calls.requireFullRead();
               }
-              if (sendInquiry[0]) {
-                nextInquiry = Deadline.after(clock, settings.retryDelay());
-              }
-              boolean first = !sourceLost;
-              sourceLost = true;
-              isOtherFailure[0] = !detail.equals(lastFailure);
-              lastFailure = detail;
-              return first;
+              return result;
             });
-    if (newlyLost) {
+    if (change == SourceContact.FailureChange.NEWLY_LOST) {
       eventLog.record(
           EventLog.Level.WARNING,
           "source_lost",
-          LogField.of("detail", detail),
+          LogField.of("detail", failure.detail()),
           LogField.of("revision", revision()),
           LogField.of("age_ms", ageMillis()));
-    } else if (isOtherFailure[0]) {
+    } else if (change == SourceContact.FailureChange.OTHER_FAILURE) {
       // Tells a source that refuses calls from calls that do not leave this VM.
-      eventLog.record(EventLog.Level.INFO, "source_failure_changed", LogField.of("detail", detail));
+      eventLog.record(
+          EventLog.Level.INFO, "source_failure_changed", LogField.of("detail", failure.detail()));
     }
-    if (sendInquiry[0] && !knownPeers.isEmpty()) {
-      // A VM without items requests them from a peer; newer items follow from the source.
-      sender.send(
-          knownPeers.get(Math.floorMod((int) clock.monotonicNanos(), knownPeers.size())),
-          new ItemsInquiry(ItemTable.NO_REVISION));
+    if (sendInquiry[0]) {
+      exchange.sendInquiryToAnyPeer();
     }
   }
 
   private void recordConfirmation() {
-    long now = clock.monotonicNanos();
-    if (now - confirmedNanos > 2 * settings.staleAfter().toNanos()) {
-      recoveryWindowEnd = Deadline.after(clock, settings.recoveryWindow());
+    exchange.onUpToDate();
+    long leftOut = table.itemsLeftOut() - reportedLeftOut;
+    if (leftOut > 0) {
+      reportedLeftOut += leftOut;
+      counters.add("source.items_left_out", leftOut);
+      effects.add(
+          () ->
+              eventLog.record(
+                  EventLog.Level.WARNING,
+                  "source_items_left_out",
+                  LogField.of("items", leftOut),
+                  LogField.of("maximum_bytes", settings.maximumItemBytes())));
     }
-    confirmedNanos = now;
-    if (sourceLost) {
-      sourceLost = false;
+    if (contact.confirm()) {
       long known = table.revision();
       effects.add(
           () ->
@@ -392,7 +405,7 @@
   private void useWithheldItems() {
     lock.run(
         () -> {
-          if (isWithheld && !sourceLost && withheldUntil.isReached(clock)) {
+          if (isWithheld && !contact.isLost() && withheldUntil.isReached(clock)) {
             isWithheld = false;
             usesUnconfirmed = true;
             notifyListener(table.presentItems());
@@ -403,48 +416,28 @@
 
   private void notifyListener(List<SourceItem> changed) {
     if (!changed.isEmpty()) {
-      boolean recovered = !recoveryWindowEnd.isReached(clock);
+      boolean recovered = contact.isRecovering();
       effects.add(() -> listener.itemsChanged(changed, recovered));
     }
   }
 
-  private void onReport(VmId from, ItemsReport report) {
-    boolean gap =
-        lock.call(
-            () -> {
-              if (report.complete()) {
-                ItemTable.Update update = table.applySnapshot(report.items(), report.revision());
-                recordConfirmation();
-                notifyOfConfirmed(update.changed());
-                return false;
-              }
-              if (report.fromRevision() > table.revision()) {
-                boolean due = nextInquiry.isReached(clock);
-                if (due) {
-                  nextInquiry = Deadline.after(clock, settings.retryDelay());
-                }
-                return due;
-              }
-              ItemTable.Update update = table.applyChanges(report.items(), report.revision());
-              recordConfirmation();
-              notifyOfConfirmed(update.changed());
-              return false;
-            });
-    effects.drain();
-    if (gap) {
-      counters.add("source.gaps", 1);
-      sender.send(from, new ItemsInquiry(revision()));
+  /** Applies a report and returns false if changes before it are missing. */
+  private boolean apply(ItemsReport report) {
+    if (!report.complete() && report.fromRevision() > table.revision()) {
+      return false;
     }
-  }
-
-  private void onInquiry(VmId from, ItemsInquiry inquiry) {
-    List<ItemsReport> reports = new ArrayList<>();
-    lock.run(
-        () -> {
-          if (table.revision() > inquiry.knownRevision()) {
-            reports.add(new ItemsReport(true, 0, table.revision(), table.presentItems()));
-          }
-        });
-    reports.forEach(report -> sender.send(from, report));
+    // A reader that knows less than this VM confirms nothing.
+    boolean isConfirmation = report.revision() >= table.revision();
+    ItemTable.Update update =
+        report.complete()
+            ? table.applySnapshot(report.items(), report.revision())
+            : table.applyChanges(report.items(), report.revision());
+    if (isConfirmation) {
+      recordConfirmation();
+      notifyOfConfirmed(update.changed());
+    } else if (caughtUp) {
+      notifyListener(update.changed());
+    }
+    return true;
   }
 }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeedSettings.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeedSettings.java
@@ -16,6 +16,7 @@
  * @param retryDelay delay after a failed call
  * @param recoveryWindow time after recovery of the source during which expired entries may be
  *     restored
+ * @param maximumItemBytes size of all items beyond which further ones are left out, in bytes
  */
 public record ItemFeedSettings(
     int readerCount,
@@ -24,7 +25,11 @@
     Duration takeoverStagger,
     Duration changePause,
     Duration retryDelay,
-    Duration recoveryWindow) {
+    Duration recoveryWindow,
+    int maximumItemBytes) {
+  /** Entries of instances take about 0.5 KB each, a configuration up to 1 MB. */
+  private static final int MAXIMUM_ITEM_BYTES = 6 << 20;
+
   /**
    * Settings for a propagation limit of 2 s: an unresponsive reader is detected and replaced within
    * 1.3 s.
@@ -37,5 +42,6 @@
           Duration.ofMillis(60),
           Duration.ofMillis(200),
           Duration.ofMillis(300),
-          Duration.ofSeconds(2));
+          Duration.ofSeconds(2),
+          MAXIMUM_ITEM_BYTES);
 }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemsReport.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemsReport.java
@@ -4,15 +4,18 @@
 import org.kumquatvane.core.PeerMessage;
 
 /**
- * Items that a VM has read from the source; without items it confirms that nothing has changed.
+ * Items that a VM has read from the source; without items it confirms that nothing has changed. A
+ * long list is sent in several parts, which agree in all but their numbers and items.
  *
  * @param complete whether the list holds all items, so that other keys do not exist
  * @param fromRevision revision after which the list contains all changes
  * @param revision revision up to which the list contains all changes
- * @param items changed and removed items
+ * @param part number of this part, from 0
+ * @param parts number of parts, at least 1
+ * @param items changed and removed items of this part
  */
 public record ItemsReport(
-    boolean complete, long fromRevision, long revision, List<SourceItem> items)
+    boolean complete, long fromRevision, long revision, int part, int parts, List<SourceItem> items)
     implements PeerMessage {
   /** Copies the list. */
   public ItemsReport {
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/SourceResponse.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/SourceResponse.java
@@ -42,6 +42,16 @@
    * The source is unreachable or returned no usable response.
    *
    * @param detail description of the failure
+   * @param hasBegun whether a part of a response has arrived
    */
-  record Unavailable(String detail) implements SourceResponse {}
+  record Unavailable(String detail, boolean hasBegun) implements SourceResponse {
+    /**
+     * Creates a response for a call of which no part of a response has arrived.
+     *
+     * @param detail description of the failure
+     */
+    public Unavailable(String detail) {
+      this(detail, false);
+    }
+  }
 }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemTable.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemTable.java
@@ -1,6 +1,7 @@
 package org.kumquatvane.distribution.internal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -8,17 +9,29 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.distribution.SourceItem;
 
 /**
  * Newest known item of each key. An item is never replaced by an older revision. Guarded by the
  * lock of the feed.
+ *
+ * <p>The size is bounded, since other writers decide how many items there are: items beyond the
+ * maximum size are left out, and of the removed items only the newest are remembered.
  */
 public final class ItemTable {
   /** Revision before the first complete set. */
   public static final long NO_REVISION = -1;
 
+  /** Maximum number of removed items that are remembered; about 1.5 MB. */
+  static final int MAXIMUM_REMOVED_ITEMS = 4_096;
+
+  /** Removed items that are kept when the maximum is exceeded, so that this is rare. */
+  private static final int REMOVED_ITEMS_KEPT = MAXIMUM_REMOVED_ITEMS / 2;
+
+  private final int maximumBytes;
+  private final Predicate<String> isEssential;
   private final Map<String, SourceItem> items = new HashMap<>();
 
   /**
@@ -29,6 +42,13 @@
 
   private long revision = NO_REVISION;
 
+  /** Highest revision of the removed items that are no longer remembered. */
+  private long forgottenRevision = NO_REVISION;
+
+  private long sizeBytes;
+  private int removedItems;
+  private long itemsLeftOut;
+
   /**
    * Result of a complete response of the source.
    *
@@ -38,6 +58,17 @@
    */
   public record Update(List<SourceItem> changed, List<SourceItem> sinceRevision) {}
 
+  /**
+   * Creates an empty table.
+   *
+   * @param maximumBytes size beyond which further items are left out
+   * @param isEssential keys of the items that are never left out
+   */
+  public ItemTable(int maximumBytes, Predicate<String> isEssential) {
+    this.maximumBytes = maximumBytes;
+    this.isEssential = isEssential;
+  }
+
   /**
    * Returns the revision up to which the items are complete.
    *
@@ -47,6 +78,24 @@
     return revision;
   }
 
+  /**
+   * Returns the number of items that were left out because the table was full.
+   *
+   * @return number of items since the start, counted again at each attempt to add one
+   */
+  public long itemsLeftOut() {
+    return itemsLeftOut;
+  }
+
+  /**
+   * Returns the number of removed items that are remembered.
+   *
+   * @return number of items
+   */
+  int removedItems() {
+    return removedItems;
+  }
+
   /**
    * Returns the items that are not removed.
    *
@@ -64,7 +113,8 @@
    */
   public List<SourceItem> applyPartialSnapshot(List<SourceItem> part) {
     List<SourceItem> changed = new ArrayList<>();
-    part.forEach(item -> addIfNewer(changed, item));
+    part.forEach(item -> addIfNewer(changed, item, forgottenRevision));
+    forgetOldestRemovals();
     return changed;
   }
 
@@ -83,13 +133,14 @@
     List<SourceItem> changed = new ArrayList<>();
     for (SourceItem item : all) {
       present.add(item.key());
-      addIfNewer(changed, item);
     }
+    // Removals come first, so that they make room for new items.
     for (SourceItem known : List.copyOf(items.values())) {
       if (!present.contains(known.key()) && known.value().isPresent() && known.revision() <= at) {
-        addIfNewer(changed, new SourceItem(known.key(), Optional.empty(), at));
+        addIfNewer(changed, new SourceItem(known.key(), Optional.empty(), at), NO_REVISION);
       }
     }
+    all.forEach(item -> addIfNewer(changed, item, NO_REVISION));
     return completeUpTo(at, changed);
   }
 
@@ -102,7 +153,7 @@
    */
   public Update applyChanges(List<SourceItem> changes, long at) {
     List<SourceItem> changed = new ArrayList<>();
-    changes.forEach(item -> addIfNewer(changed, item));
+    changes.forEach(item -> addIfNewer(changed, item, forgottenRevision));
     return completeUpTo(Math.max(revision, at), changed);
   }
 
@@ -111,22 +162,71 @@
     changed.forEach(item -> sinceRevision.put(item.key(), item));
     revision = at;
     newerThanRevision.values().removeIf(item -> item.revision() <= at);
+    forgetOldestRemovals();
     return new Update(changed, List.copyOf(sinceRevision.values()));
   }
 
-  private void addIfNewer(List<SourceItem> changed, SourceItem item) {
+  /**
+   * Adds an item unless a newer one is known.
+   *
+   * @param unknownAfter revision after which an item without a known predecessor is new; one up to
+   *     it may have been removed since, unless it is part of a complete set
+   */
+  private void addIfNewer(List<SourceItem> changed, SourceItem item, long unknownAfter) {
     @Nullable SourceItem known = items.get(item.key());
     boolean sameRevisionRemoved =
         known != null && known.revision() == item.revision() && item.value().isEmpty();
-    if (known == null
-        ? item.value().isPresent()
-        : known.revision() < item.revision()
-            || (sameRevisionRemoved && known.value().isPresent())) {
-      items.put(item.key(), item);
-      if (item.revision() > revision) {
-        newerThanRevision.put(item.key(), item);
-      }
+    boolean isNewer =
+        known == null
+            ? item.value().isPresent() && item.revision() > unknownAfter
+            : known.revision() < item.revision()
+                || (sameRevisionRemoved && known.value().isPresent());
+    if (isNewer && hasRoomFor(item, known)) {
+      put(item, known);
       changed.add(item);
+    } else if (isNewer) {
+      itemsLeftOut++;
+      if (known != null) {
+        // The item that was known is no longer valid.
+        SourceItem removal = new SourceItem(item.key(), Optional.empty(), item.revision());
+        put(removal, known);
+        changed.add(removal);
+      }
+    }
+  }
+
+  private boolean hasRoomFor(SourceItem item, @Nullable SourceItem known) {
+    return item.value().isEmpty()
+        || isEssential.test(item.key())
+        || sizeBytes + item.sizeBytes() - (known == null ? 0 : known.sizeBytes()) <= maximumBytes;
+  }
+
+  private void put(SourceItem item, @Nullable SourceItem known) {
+    items.put(item.key(), item);
+    if (item.revision() > revision) {
+      newerThanRevision.put(item.key(), item);
+    }
+    sizeBytes += item.sizeBytes() - (known == null ? 0 : known.sizeBytes());
+    removedItems += item.value().isEmpty() ? 1 : 0;
+    removedItems -= known != null && known.value().isEmpty() ? 1 : 0;
+  }
+
+  /** Removals that other VMs have not been told of yet are kept. */
+  private void forgetOldestRemovals() {
+    if (removedItems <= MAXIMUM_REMOVED_ITEMS) {
+      return;
+    }
+    List<SourceItem> oldest =
+        items.values().stream()
+            .filter(item -> item.value().isEmpty() && !newerThanRevision.containsKey(item.key()))
+            .sorted(Comparator.comparingLong(SourceItem::revision))
+            .limit(removedItems - REMOVED_ITEMS_KEPT)
+            .toList();
+    for (SourceItem removal : oldest) {
+      items.remove(removal.key());
+      sizeBytes -= removal.sizeBytes();
+      removedItems--;
+      forgottenRevision = Math.max(forgottenRevision, removal.revision());
     }
   }
 }
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
@@ -6,7 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +43,9 @@
   private final FakeSource source = new FakeSource();
   private final List<VmId> names = new ArrayList<>();
   private final List<Replica> replicas = new ArrayList<>();
+  private final Set<ItemsReport> completeReports =
+      Collections.newSetFromMap(new IdentityHashMap<>());
+  private long largestReport;
 
   /** Source with a history that tests can drop, and connections that tests can break. */
   private final class FakeSource {
@@ -207,6 +212,7 @@
           new ItemFeed(
               ItemFeedSettings.STANDARD,
               source.of(self),
+              ItemRules.KEEP_ALL,
               () -> names.stream().filter(other -> !other.equals(self)).toList(),
               () -> rank,
               network.sender(self),
@@ -217,12 +223,26 @@
               new DiscardingEventLog());
       PeerDispatcher dispatcher = new PeerDispatcher();
       feed.registerHandlers(dispatcher);
-      network.connect(self, dispatcher::dispatch);
+      network.connect(
+          self,
+          (from, message) -> {
+            if (message instanceof ItemsReport report) {
+              largestReport = Math.max(largestReport, size(report));
+              if (report.complete()) {
+                completeReports.add(report);
+              }
+            }
+            dispatcher.dispatch(from, message);
+          });
       replicas.add(replica);
       feed.start();
     }
   }
 
+  private static long size(ItemsReport report) {
+    return report.items().stream().mapToLong(SourceItem::sizeBytes).sum();
+  }
+
   private void assertAllReplicas(Map<String, String> expected) {
     for (Replica replica : replicas) {
       assertEquals(expected, replica.values);
@@ -472,4 +492,70 @@
     scheduler.advance(Duration.ofSeconds(3));
     assertAllReplicas(Map.of("config", "1", "servers/i-1", "a"));
   }
+
+  /**
+   * Many or large items must reach all VMs without a message that is too large for a frame or for
+   * the memory of its receivers, also those VMs that missed the changes, and those that are cut off
+   * from the source while all items still fit into a report.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "4, 500, 300, true",
+    "12, 2000, 400, true",
+    "3, 1, 1000000, true",
+    "3, 30, 60000, false",
+    "6, 4000, 1000, false"
+  })
+  void largeChangesAreSentInBoundedMessages(
+      int vms, int items, int valueBytes, boolean fitsIntoReport) {
+    start(vms);
+    VmId last = names.get(vms - 1);
+    source.cutOff.put(last, fitsIntoReport);
+    network.setFaults(0.3, 0.1);
+    Map<String, String> expected = new TreeMap<>(Map.of("config", "1"));
+    for (int i = 0; i < items; i++) {
+      String value = String.valueOf(i % 10).repeat(valueBytes);
+      source.put("servers/i-" + i, value);
+      expected.put("servers/i-" + i, value);
+    }
+    scheduler.advance(PROPAGATION_LIMIT);
+    network.setFaults(0, 0);
+    scheduler.advance(PROPAGATION_LIMIT);
+    for (Replica replica : replicas) {
+      // Compared without a message, which would hold all values.
+      assertTrue(expected.equals(replica.values), "items: " + replica.values.size());
+    }
+    long largest = Math.max(128 << 10, valueBytes + 1_000);
+    assertTrue(largestReport <= largest, "largest report: " + largestReport);
+  }
+
+  /** VMs that notice a gap together must not make one VM encode all items for each of them. */
+  @Test
+  void oneAnswerServesManyInquiries() {
+    source.put("servers/i-1", "x".repeat(1_000));
+    start(40);
+    names.stream().skip(1).forEach(name -> network.setBlocked(names.get(0), name, true));
+    source.put("config", "2");
+    scheduler.advance(Duration.ofMillis(400));
+    names.stream().skip(1).forEach(name -> network.setBlocked(names.get(0), name, false));
+    source.put("config", "3");
+    completeReports.clear();
+    scheduler.advance(Duration.ofMillis(600));
+    assertAllReplicas(Map.of("config", "3", "servers/i-1", "x".repeat(1_000)));
+    assertTrue(completeReports.size() <= 2, "encoded sets: " + completeReports.size());
+  }
+
+  /** Items that cannot be used take no room and end the use of the value before. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 100_000})
+  void unusableItemsTakeNoRoom(int items) {
+    source.put("servers/i-1", "a");
+    start(2);
+    for (int i = 1; i <= items; i++) {
+      source.put("servers/i-" + i, "");
+    }
+    scheduler.advance(PROPAGATION_LIMIT);
+    assertAllReplicas(Map.of("config", "1"));
+    assertTrue(largestReport < 10_000, "largest report: " + largestReport);
+  }
 }
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/internal/ItemTablePropertyTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/internal/ItemTablePropertyTest.java
@@ -24,8 +24,8 @@
 
   private final Map<String, SourceItem> source = new TreeMap<>();
   private long sourceRevision;
-  private final ItemTable reader = new ItemTable();
-  private final ItemTable other = new ItemTable();
+  private final ItemTable reader = new ItemTable(Integer.MAX_VALUE, key -> false);
+  private final ItemTable other = new ItemTable(Integer.MAX_VALUE, key -> false);
 
   @Property(tries = 500, seed = "30")
   void otherVmsKnowAllChangesUpToReportedRevision(
--- a/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonReader.java
+++ b/kumquatvane-json/src/main/java/org/kumquatvane/json/JsonReader.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -36,6 +37,9 @@
  * ends at a syntax error.
  */
 public final class JsonReader {
+  /** Maximum length of a number as written, in characters. */
+  static final int MAXIMUM_NUMBER_LENGTH = 100;
+
   private static final String SYNTAX_REMEDY =
       "correct the syntax here; what follows was not checked";
 
@@ -56,7 +60,7 @@
                     .maxNestingDepth(limits.maximumDepth())
                     .maxStringLength(limits.maximumStringLength())
                     .maxNameLength(limits.maximumStringLength())
-                    .maxNumberLength(100)
+                    .maxNumberLength(MAXIMUM_NUMBER_LENGTH)
                     .build())
             .configure(JsonReadFeature.ALLOW_JAVA_COMMENTS, true)
             // Interned names of untrusted inputs could stay in memory for the life of the process.
@@ -91,7 +95,7 @@
       return Optional.empty();
     }
     try (JsonParser parser = factory.createParser(text.array(), 0, text.length())) {
-      return new TreeReader(source, parser, faults).readRoot();
+      return new TreeReader(source, parser, limits.maximumValues(), faults).readRoot();
     } catch (IOException e) {
       throw new UncheckedIOException("reading from memory performs no I/O", e);
     }
@@ -129,11 +133,14 @@
   private static final class TreeReader {
     private final String source;
     private final JsonParser parser;
+    private final int maximumValues;
     private final FaultCollector faults;
+    private int values;
 
-    private TreeReader(String source, JsonParser parser, FaultCollector faults) {
+    private TreeReader(String source, JsonParser parser, int maximumValues, FaultCollector faults) {
       this.source = source;
       this.parser = parser;
+      this.maximumValues = maximumValues;
       this.faults = faults;
     }
 
@@ -180,6 +187,10 @@
 
     /** Reads a value; the parser's nesting limit bounds the recursion. */
     private JsonValue read(JsonToken token, JsonPath path) throws IOException {
+      if (++values > maximumValues) {
+        throw new StreamConstraintsException(
+            "the input has more than " + maximumValues + " values", parser.currentLocation());
+      }
       JsonLocation location = parser.currentTokenLocation();
       int line = location.getLineNr();
       int column = location.getColumnNr();
--- a/kumquatvane-json/src/test/java/org/kumquatvane/json/JsonReaderTest.java
+++ b/kumquatvane-json/src/test/java/org/kumquatvane/json/JsonReaderTest.java
@@ -22,7 +22,7 @@
   private final FaultCollector faults = new FaultCollector();
 
   private Optional<JsonValue> read(byte[] bytes) {
-    return new JsonReader(new JsonLimits(1_000, 4, 50)).read("input", bytes, faults);
+    return new JsonReader(new JsonLimits(1_000, 4, 50, 100)).read("input", bytes, faults);
   }
 
   /** Guards against accepting malformed inputs, which other tools interpret differently. */
@@ -64,6 +64,14 @@
     assertEquals(1, faults.faults().size());
   }
 
+  /** Guards against a small dense input whose tree takes fifty times its size. */
+  @ParameterizedTest
+  @CsvSource({"1, 0", "99, 0", "100, 1", "400, 1"})
+  void rejectsInputWithTooManyValues(int elements, int expectedFaults) {
+    read(("[" + "0,".repeat(elements - 1) + "0]").getBytes(StandardCharsets.UTF_8));
+    assertEquals(expectedFaults, faults.faults().size());
+  }
+
   /** Guards against disclosing a secret that lacks quotation marks in a message. */
   @Test
   void doesNotQuoteBareWords() {
@@ -77,7 +85,7 @@
   void readsAnyBytes(@ForAll @Size(max = 80) byte[] bytes) {
     FaultCollector found = new FaultCollector();
     Optional<JsonValue> value =
-        new JsonReader(new JsonLimits(1_000, 4, 50)).read("input", bytes, found);
+        new JsonReader(new JsonLimits(1_000, 4, 50, 100)).read("input", bytes, found);
     assertTrue(value.isPresent() || !found.isEmpty());
   }
 
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetwork.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetwork.java
@@ -9,8 +9,11 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -30,8 +33,10 @@
 import org.kumquatvane.membership.VmList;
 import org.kumquatvane.membership.VmListListener;
 import org.kumquatvane.peering.codec.MessageRegistry;
+import org.kumquatvane.peering.internal.ByteBudget;
 import org.kumquatvane.peering.internal.Handshake;
 import org.kumquatvane.peering.internal.IncomingPeer;
+import org.kumquatvane.peering.internal.OutgoingFrame;
 import org.kumquatvane.peering.internal.OutgoingPeer;
 import org.kumquatvane.peering.internal.SelectableConnection;
 import org.kumquatvane.peering.internal.TrafficCounters;
@@ -51,6 +56,7 @@
   private final Clock clock;
   private final EventLog eventLog;
   private final TrafficCounters traffic;
+  private final ByteBudget sendBudget;
   private final Handshake handshake;
   private final IncomingPeer.SharedContext incomingContext;
   private final Map<VmId, OutgoingPeer> outgoing = new ConcurrentHashMap<>();
@@ -97,7 +103,16 @@
     handshake = new Handshake(secret, self, settings.listen());
     incomingContext =
         new IncomingPeer.SharedContext(
-            settings, handshake, registry, dispatcher, workers, clock, eventLog, traffic);
+            settings,
+            handshake,
+            registry,
+            dispatcher,
+            workers,
+            clock,
+            eventLog,
+            traffic,
+            new ByteBudget(settings.totalReceivedBytes()));
+    sendBudget = new ByteBudget(settings.totalSendBufferBytes());
     selector = Selector.open();
     server = ServerSocketChannel.open();
     try {
@@ -121,24 +136,45 @@
 
   @Override
   public void send(VmId destination, PeerMessage message) {
-    OutgoingPeer peer = outgoing.get(destination);
-    if (peer == null) {
-      traffic.recordDropped("unknown_peer", 1);
+    sendToAll(List.of(destination), message);
+  }
+
+  @Override
+  public void sendToAll(Collection<VmId> destinations, PeerMessage message) {
+    List<OutgoingPeer> peers = new ArrayList<>();
+    for (VmId destination : destinations) {
+      OutgoingPeer peer = outgoing.get(destination);
+      if (peer == null) {
+        traffic.recordDropped("unknown_peer", 1);
+      } else {
+        peers.add(peer);
+      }
+    }
+    if (peers.isEmpty()) {
       return;
     }
-    ByteBuffer frame;
+    ByteBuffer encoded;
     try {
-      frame = registry.encode(message);
+      encoded = registry.encode(message);
     } catch (IllegalArgumentException e) {
-      // Not thrown to the caller, which may be sending to all VMs in a loop.
-      traffic.recordDropped("not_encodable", 1);
+      // Not thrown to the caller, which may be sending many messages in a loop.
+      traffic.recordDropped("not_encodable", peers.size());
       eventLog.record(
           EventLog.Level.WARNING, "peer_message_not_encodable", LogField.of("error", e));
       return;
     }
-    int bytes = frame.remaining();
+    Optional<OutgoingFrame> frame = OutgoingFrame.create(encoded, sendBudget);
+    if (frame.isEmpty()) {
+      traffic.recordDropped("send_buffer_full", peers.size());
+      return;
+    }
+    peers.forEach(peer -> enqueue(peer, frame.get(), registry.metricLabel(message)));
+    frame.get().release();
+  }
+
+  private void enqueue(OutgoingPeer peer, OutgoingFrame frame, String metricLabel) {
     if (peer.enqueue(frame)) {
-      traffic.recordSent(registry.metricLabel(message), bytes);
+      traffic.recordSent(metricLabel, frame.sizeBytes());
       schedule(peer);
     } else {
       traffic.recordDropped("send_buffer_full", 1);
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetworkSettings.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/PeerNetworkSettings.java
@@ -8,8 +8,12 @@
  *
  * @param listen address on which this VM accepts connections of other VMs
  * @param sendBufferBytes maximum bytes queued for one peer; further messages are dropped
+ * @param totalSendBufferBytes maximum bytes queued for all peers, where a message to several peers
+ *     counts once; further messages are dropped
  * @param receivedMessageCapacity maximum received messages of one peer queued for a worker; further
  *     messages are dropped
+ * @param totalReceivedBytes maximum bytes of the messages of all peers that are queued for a
+ *     worker, and of large ones that are being received; further messages are dropped
  * @param maximumIncomingConnections maximum connections accepted from other VMs
  * @param handshakeTimeout time limit for connecting and the mutual authentication
  * @param acknowledgementTimeout time without an acknowledgement after data was written, after which
@@ -21,13 +25,18 @@
 public record PeerNetworkSettings(
     SocketEndpoint listen,
     int sendBufferBytes,
+    long totalSendBufferBytes,
     int receivedMessageCapacity,
+    long totalReceivedBytes,
     int maximumIncomingConnections,
     Duration handshakeTimeout,
     Duration acknowledgementTimeout,
     Duration acknowledgementInterval,
     Duration minimumBackoff,
     Duration maximumBackoff) {
+  private static final long TOTAL_SEND_BUFFER_BYTES = 4L << 20;
+  private static final long TOTAL_RECEIVED_BYTES = 4L << 20;
+
   /**
    * Returns the default settings.
    *
@@ -42,7 +51,9 @@
     return new PeerNetworkSettings(
         listen,
         2 << 20,
+        TOTAL_SEND_BUFFER_BYTES,
         1_024,
+        TOTAL_RECEIVED_BYTES,
         256,
         Duration.ofSeconds(2),
         Duration.ofMillis(1_500),
@@ -64,7 +75,9 @@
     return new PeerNetworkSettings(
         listen,
         defaults.sendBufferBytes(),
+        defaults.totalSendBufferBytes(),
         defaults.receivedMessageCapacity(),
+        defaults.totalReceivedBytes(),
         defaults.maximumIncomingConnections(),
         defaults.handshakeTimeout(),
         Duration.ofMillis(2_500),
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/ItemsReportCodec.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/ItemsReportCodec.java
@@ -12,6 +12,8 @@
   private static final int FROM_REVISION = 2;
   private static final int REVISION = 3;
   private static final int ITEMS = 4;
+  private static final int PART = 5;
+  private static final int PARTS = 6;
   private static final int KEY = 1;
   private static final int VALUE = 2;
   private static final int ITEM_REVISION = 3;
@@ -26,11 +28,18 @@
     return ItemsReport.class;
   }
 
+  @Override
+  public long estimateBytes(ItemsReport message) {
+    return message.items().stream().mapToLong(SourceItem::sizeBytes).sum();
+  }
+
   @Override
   public void write(ItemsReport message, FieldWriter fields) throws IOException {
     fields.writeBoolean(COMPLETE, message.complete());
     fields.writeLong(FROM_REVISION, message.fromRevision());
     fields.writeLong(REVISION, message.revision());
+    fields.writeLong(PART, message.part());
+    fields.writeLong(PARTS, message.parts());
     fields.writeList(ITEMS, message.items(), ItemsReportCodec::writeItem);
   }
 
@@ -47,17 +56,21 @@
     boolean complete = false;
     long fromRevision = 0;
     long revision = 0;
+    int part = 0;
+    int parts = 1;
     List<SourceItem> items = List.of();
     for (int field = fields.nextField(); field >= 0; field = fields.nextField()) {
       switch (field) {
         case COMPLETE -> complete = fields.readBoolean();
         case FROM_REVISION -> fromRevision = fields.readLong();
         case REVISION -> revision = fields.readLong();
+        case PART -> part = fields.readInt();
+        case PARTS -> parts = fields.readInt();
         case ITEMS -> items = fields.readList(ItemsReportCodec::readItem);
         default -> fields.skipValue();
       }
     }
-    return new ItemsReport(complete, fromRevision, revision, items);
+    return new ItemsReport(complete, fromRevision, revision, part, parts, items);
   }
 
   private static SourceItem readItem(FieldReader fields) throws IOException {
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/MessageCodec.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/MessageCodec.java
@@ -27,6 +27,17 @@
    */
   Class<M> messageClass();
 
+  /**
+   * Estimates the encoded size, so that a message beyond the maximum is noticed before memory is
+   * spent on its encoding. Types without long lists or byte arrays need no estimate.
+   *
+   * @param message the message
+   * @return size in bytes, not more than a little above the real one
+   */
+  default long estimateBytes(M message) {
+    return 0;
+  }
+
   /**
    * Writes the fields.
    *
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/MessageRegistry.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/MessageRegistry.java
@@ -11,8 +11,8 @@
 
 /** Message codecs, indexed by type number and by message class. */
 public final class MessageRegistry {
-  /** Maximum length of the body of a frame. */
-  public static final int MAXIMUM_FRAME_BYTES = 1 << 20;
+  /** Maximum length of the body of a frame: a configuration of 1 MB and the fields beside it. */
+  public static final int MAXIMUM_FRAME_BYTES = (1 << 20) + (64 << 10);
 
   private static final int TYPE_FIELD = 0;
 
@@ -60,20 +60,13 @@
     if (codec == null) {
       throw new IllegalArgumentException("no codec for " + message.getClass());
     }
+    checkSize(message, estimate(codec, message));
     try {
       FieldWriter fields = new FieldWriter();
       fields.writeLong(TYPE_FIELD, codec.type());
       write(codec, message, fields);
       byte[] body = fields.toByteArray();
-      if (body.length > MAXIMUM_FRAME_BYTES) {
-        throw new IllegalArgumentException(
-            message.getClass()
-                + " has "
-                + body.length
-                + " bytes, which exceeds the limit of "
-                + MAXIMUM_FRAME_BYTES
-                + " bytes");
-      }
+      checkSize(message, body.length);
       ByteBuffer frame = ByteBuffer.allocate(Integer.BYTES + body.length);
       return frame.putInt(body.length).put(body).flip();
     } catch (IOException e) {
@@ -105,6 +98,22 @@
     }
   }
 
+  private static void checkSize(PeerMessage message, long bytes) {
+    if (bytes > MAXIMUM_FRAME_BYTES) {
+      throw new IllegalArgumentException(
+          message.getClass()
+              + " has "
+              + bytes
+              + " bytes, which exceeds the limit of "
+              + MAXIMUM_FRAME_BYTES
+              + " bytes");
+    }
+  }
+
+  private static <M extends PeerMessage> long estimate(MessageCodec<M> codec, PeerMessage message) {
+    return codec.estimateBytes(codec.messageClass().cast(message));
+  }
+
   private static <M extends PeerMessage> void write(
       MessageCodec<M> codec, PeerMessage message, FieldWriter fields) throws IOException {
     codec.write(codec.messageClass().cast(message), fields);
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/FrameChannel.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/FrameChannel.java
@@ -16,10 +16,11 @@
 
   private final SocketChannel channel;
   private final SelectionKey key;
-  private final FrameDecoder decoder = new FrameDecoder(Handshake.MAXIMUM_FRAME_BYTES);
+  private final FrameDecoder decoder;
   private final Deque<ByteBuffer> outgoing = new ArrayDeque<>();
 
-  FrameChannel(SocketChannel channel, SelectionKey key) {
+  FrameChannel(SocketChannel channel, SelectionKey key, ByteBudget receiveBudget) {
+    decoder = new FrameDecoder(Handshake.MAXIMUM_FRAME_BYTES, receiveBudget);
     this.channel = channel;
     this.key = key;
   }
@@ -72,6 +73,7 @@
 
   @Override
   public void close() throws IOException {
+    decoder.close();
     key.cancel();
     channel.close();
   }
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/FrameDecoder.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/FrameDecoder.java
@@ -13,7 +13,12 @@
   private static final int INITIAL_BUFFER_BYTES = 1_024;
   private static final byte[] EMPTY = {};
 
+  /** Size above which a body counts against the budget while it arrives. */
+  private static final int LARGE_BODY_BYTES = 64 << 10;
+
+  private final ByteBudget budget;
   private int maximumBodyBytes;
+  private int reservedBytes;
   private int declaredBodyBytes = -1;
   private int headerBytes;
   private int header;
@@ -24,9 +29,11 @@
    * Creates a decoder at the start of a stream.
    *
    * @param maximumBodyBytes maximum accepted body length
+   * @param budget bound on the large bodies that all connections receive at the same time
    */
-  public FrameDecoder(int maximumBodyBytes) {
+  public FrameDecoder(int maximumBodyBytes, ByteBudget budget) {
     this.maximumBodyBytes = maximumBodyBytes;
+    this.budget = budget;
   }
 
   /**
@@ -43,7 +50,8 @@
    *
    * @param source received bytes; all are consumed
    * @param sink receives the body of each complete frame
-   * @throws IOException if a frame exceeds the maximum length, or if the sink throws it
+   * @throws IOException if a frame exceeds the maximum length or the budget, or if the sink throws
+   *     it
    */
   public void decode(ByteBuffer source, FrameSink sink) throws IOException {
     while (source.hasRemaining()) {
@@ -59,12 +67,19 @@
         header = 0;
         receivedBytes = 0;
         body = EMPTY;
+        close();
         sink.onFrame(frame);
       }
     }
   }
 
-  private void readHeader(ByteBuffer source) throws MalformedMessageException {
+  /** Gives back what a frame that has not arrived completely holds of the budget. */
+  public void close() {
+    budget.release(reservedBytes);
+    reservedBytes = 0;
+  }
+
+  private void readHeader(ByteBuffer source) throws IOException {
     header = (header << Byte.SIZE) | (source.get() & 0xff);
     headerBytes++;
     if (headerBytes == Integer.BYTES) {
@@ -76,6 +91,12 @@
                 + maximumBodyBytes
                 + " bytes");
       }
+      if (header > LARGE_BODY_BYTES) {
+        if (!budget.tryReserve(header)) {
+          throw new IOException("too many large frames are being received");
+        }
+        reservedBytes = header;
+      }
       declaredBodyBytes = header;
     }
   }
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/IncomingPeer.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/IncomingPeer.java
@@ -43,7 +43,8 @@
   private final Listener listener;
   private final Deadline handshakeDeadline;
   private final Clock clock;
-  private final Queue<PeerMessage> received = new ConcurrentLinkedQueue<>();
+  private final ByteBudget receiveBudget;
+  private final Queue<ReceivedMessage> received = new ConcurrentLinkedQueue<>();
   private final AtomicInteger receivedCount = new AtomicInteger();
 
   private @Nullable Hello hello;
@@ -63,7 +64,8 @@
    */
   public IncomingPeer(
       SocketChannel socket, SelectionKey key, SharedContext context, Listener listener) {
-    this.channel = new FrameChannel(socket, key);
+    this.channel = new FrameChannel(socket, key, context.receiveBudget());
+    this.receiveBudget = context.receiveBudget();
     this.key = key;
     this.settings = context.settings();
     this.handshake = context.handshake();
@@ -151,7 +153,7 @@
     DecodeResult result = registry.decode(body);
     if (result instanceof DecodeResult.Message decodedMessage) {
       traffic.recordReceived(decodedMessage.metricLabel(), Integer.BYTES + body.length);
-      enqueue(from, decodedMessage.message());
+      enqueue(from, new ReceivedMessage(decodedMessage.message(), body.length));
     } else if (result instanceof DecodeResult.UnknownType) {
       traffic.recordReceived("unknown_type", Integer.BYTES + body.length);
     } else if (result instanceof DecodeResult.Malformed malformed) {
@@ -164,9 +166,9 @@
     }
   }
 
-  private void enqueue(VmId from, PeerMessage message) {
+  private void enqueue(VmId from, ReceivedMessage message) {
     int queued = receivedCount.incrementAndGet();
-    if (queued > settings.receivedMessageCapacity()) {
+    if (queued > settings.receivedMessageCapacity() || !receiveBudget.tryReserve(message.bytes())) {
       receivedCount.decrementAndGet();
       traffic.recordDropped("workers_busy", 1);
       return;
@@ -179,11 +181,12 @@
 
   private void handleBatch(VmId from) {
     int handled = 0;
-    PeerMessage message;
+    ReceivedMessage message;
     try {
       while (handled < MAXIMUM_MESSAGES_PER_TASK && (message = received.poll()) != null) {
         handled++;
-        dispatcher.dispatch(from, message);
+        receiveBudget.release(message.bytes());
+        dispatcher.dispatch(from, message.message());
       }
     } finally {
       // The count reaches zero only here, so at most one task per peer exists at any time.
@@ -213,6 +216,14 @@
     listener.onClosed(this);
   }
 
+  /**
+   * A message that waits for a worker.
+   *
+   * @param message the message
+   * @param bytes size of its encoding, which it takes of the budget
+   */
+  private record ReceivedMessage(PeerMessage message, int bytes) {}
+
   /**
    * Objects shared by all incoming connections.
    *
@@ -224,6 +235,7 @@
    * @param clock clock used for deadlines
    * @param eventLog receives malformed messages and closed connections
    * @param traffic counts received and dropped messages
+   * @param receiveBudget bound on the messages that are being received or wait for a worker
    */
   public record SharedContext(
       PeerNetworkSettings settings,
@@ -233,7 +245,8 @@
       WorkerPool workers,
       Clock clock,
       EventLog eventLog,
-      TrafficCounters traffic) {}
+      TrafficCounters traffic,
+      ByteBudget receiveBudget) {}
 
   /** Receives state changes of a connection, on the I/O thread. */
   public interface Listener {
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/OutgoingPeer.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/internal/OutgoingPeer.java
@@ -42,7 +42,7 @@
   private final Clock clock;
   private final EventLog eventLog;
   private final TrafficCounters traffic;
-  private final Queue<ByteBuffer> queue = new ConcurrentLinkedQueue<>();
+  private final Queue<OutgoingFrame> queue = new ConcurrentLinkedQueue<>();
   private final AtomicLong queuedBytes = new AtomicLong();
   private final AtomicBoolean pending = new AtomicBoolean();
   private volatile SocketEndpoint endpoint;
@@ -51,6 +51,7 @@
   private State state = State.IDLE;
   private @Nullable SocketChannel socket;
   private @Nullable FrameChannel channel;
+  private @Nullable OutgoingFrame frameInFlight;
   private @Nullable Hello hello;
   private @Nullable Deadline handshakeDeadline;
   private @Nullable Deadline acknowledgementDeadline;
@@ -87,18 +88,24 @@
   }
 
   /**
-   * Queues a frame unless the queue is full or the peer is removed.
+   * Queues a frame unless the queue is full or the peer is removed. A queued frame is retained
+   * until it is written or dropped.
    *
    * @param frame the frame
    * @return whether it was queued
    */
-  public boolean enqueue(ByteBuffer frame) {
-    int bytes = frame.remaining();
+  public boolean enqueue(OutgoingFrame frame) {
+    int bytes = frame.sizeBytes();
     if (removed || queuedBytes.addAndGet(bytes) > settings.sendBufferBytes()) {
       queuedBytes.addAndGet(removed ? 0 : -bytes);
       return false;
     }
+    frame.retain();
     queue.add(frame);
+    if (removed) {
+      // The I/O thread may have emptied the queue for the last time before the frame was added.
+      dropQueue();
+    }
     return true;
   }
 
@@ -199,7 +206,8 @@
     SocketChannel connecting = (SocketChannel) key.channel();
     connecting.finishConnect();
     key.interestOps(SelectionKey.OP_READ);
-    FrameChannel opened = new FrameChannel(connecting, key);
+    // The peer sends only acknowledgements, which are never large.
+    FrameChannel opened = new FrameChannel(connecting, key, new ByteBudget(0));
     Hello sentHello = handshake.createHello(peer);
     channel = opened;
     hello = sentHello;
@@ -226,31 +234,39 @@
 
   private void writeQueue() throws IOException {
     FrameChannel current = channel;
-    ByteBuffer frame;
+    if (current != null && current.isFlushed()) {
+      releaseFrameInFlight();
+    }
+    OutgoingFrame frame;
     while (current != null && current.isFlushed() && (frame = queue.poll()) != null) {
-      queuedBytes.addAndGet(-frame.remaining());
-      current.write(frame);
+      queuedBytes.addAndGet(-frame.sizeBytes());
+      releaseFrameInFlight();
+      frameInFlight = frame;
+      current.write(frame.view());
+      if (current.isFlushed()) {
+        releaseFrameInFlight();
+      }
       if (acknowledgementDeadline == null) {
         acknowledgementDeadline = Deadline.after(clock, settings.acknowledgementTimeout());
       }
     }
   }
 
+  private void releaseFrameInFlight() {
+    OutgoingFrame frame = frameInFlight;
+    if (frame != null) {
+      frameInFlight = null;
+      frame.release();
+    }
+  }
+
   @Override
   public void fail(String cause) {
     if (state == State.IDLE && !removed) {
       return;
     }
     close();
-    long dropped = 0;
-    ByteBuffer frame;
-    while ((frame = queue.poll()) != null) {
-      queuedBytes.addAndGet(-frame.remaining());
-      dropped++;
-    }
-    if (dropped > 0) {
-      traffic.recordDropped("connection_lost", dropped);
-    }
+    dropQueue();
     nextAttempt = Deadline.after(clock, settings.minimumBackoff().plusNanos(backoffNanos()));
     consecutiveFailures++;
     eventLog.record(
@@ -260,6 +276,19 @@
         LogField.of("cause", cause));
   }
 
+  private void dropQueue() {
+    long dropped = 0;
+    OutgoingFrame frame;
+    while ((frame = queue.poll()) != null) {
+      queuedBytes.addAndGet(-frame.sizeBytes());
+      frame.release();
+      dropped++;
+    }
+    if (dropped > 0) {
+      traffic.recordDropped("connection_lost", dropped);
+    }
+  }
+
   /**
    * Returns the delay added to the minimum backoff. It doubles with each consecutive failure, and
    * half of it is random, so that VMs do not reconnect simultaneously.
@@ -274,6 +303,7 @@
   /** Closes the socket and discards the connection state; queued frames are kept. */
   public void close() {
     SocketChannel open = socket;
+    releaseFrameInFlight();
     state = State.IDLE;
     socket = null;
     channel = null;
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/PeerNetworkTest.java
@@ -35,6 +35,7 @@
 import org.kumquatvane.membership.Vm;
 import org.kumquatvane.membership.VmList;
 import org.kumquatvane.membership.VmState;
+import org.kumquatvane.peering.codec.MessageRegistry;
 import org.kumquatvane.peering.codec.PeerCodecs;
 import org.kumquatvane.testing.DiscardingEventLog;
 import org.kumquatvane.testing.RecordingCounters;
@@ -227,7 +228,8 @@
     TestVm second = start("e2", SECRET);
     publish(first, second);
     ContentDigest digest = ContentDigest.of(new byte[0]);
-    first.network.send(second.id, new DocumentPart(digest, 1, 0, new byte[1 << 20]));
+    first.network.send(
+        second.id, new DocumentPart(digest, 1, 0, new byte[MessageRegistry.MAXIMUM_FRAME_BYTES]));
     assertEquals(1, first.counters.value("peer.dropped.not_encodable"));
     first.network.send(second.id, MESSAGE);
     await(() -> second.received.size() == 1);
@@ -327,7 +329,9 @@
       return new PeerNetworkSettings(
           listen,
           64 << 10,
+          defaults.totalSendBufferBytes(),
           defaults.receivedMessageCapacity(),
+          defaults.totalReceivedBytes(),
           defaults.maximumIncomingConnections(),
           defaults.handshakeTimeout(),
           defaults.acknowledgementTimeout(),
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -112,6 +112,8 @@
             true,
             0,
             9,
+            1,
+            3,
             List.of(
                 new SourceItem("a", Optional.of(new byte[] {1, -1}), 8),
                 new SourceItem("b", Optional.empty(), 9))),
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/internal/FrameDecoderTest.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/internal/FrameDecoderTest.java
@@ -49,7 +49,7 @@
   }
 
   private static List<String> decode(byte[] bytes, int readBytes) throws IOException {
-    FrameDecoder decoder = new FrameDecoder(MAXIMUM_BODY_BYTES);
+    FrameDecoder decoder = new FrameDecoder(MAXIMUM_BODY_BYTES, new ByteBudget(MAXIMUM_BODY_BYTES));
     List<String> frames = new ArrayList<>();
     for (int start = 0; start < bytes.length; start += readBytes) {
       int length = Math.min(readBytes, bytes.length - start);
--- a/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstanceRegistry.java
+++ b/kumquatvane-selection/src/main/java/org/kumquatvane/selection/InstanceRegistry.java
@@ -86,10 +86,12 @@
             () -> {
               boolean anyLapsing = false;
               List<Instance> appeared = new ArrayList<>();
+              List<Instance> removed = new ArrayList<>();
               for (Change change : changes) {
-                anyLapsing |= apply(change, sourceReconnected, appeared);
+                anyLapsing |= apply(change, sourceReconnected, appeared, removed);
               }
-              logListed(appeared);
+              logAll("instance_listed", "instances_listed", appeared);
+              logAll("instance_removed", "instances_removed", removed);
               notifyListener();
               return anyLapsing;
             });
@@ -99,7 +101,8 @@
     }
   }
 
-  private boolean apply(Change change, boolean sourceReconnected, List<Instance> appeared) {
+  private boolean apply(
+      Change change, boolean sourceReconnected, List<Instance> appeared, List<Instance> removed) {
     @Nullable Instance known = listed.get(change.id());
     if (change.instance().isPresent()) {
       Instance instance = change.instance().get();
@@ -121,17 +124,17 @@
       return true;
     }
     listed.remove(change.id());
-    log("instance_removed", known);
+    removed.add(known);
     return false;
   }
 
-  private void logListed(List<Instance> appeared) {
-    if (appeared.size() <= MAXIMUM_INDIVIDUAL_LOG_LINES) {
-      appeared.forEach(instance -> log("instance_listed", instance));
+  private void logAll(String event, String summaryEvent, List<Instance> instances) {
+    if (instances.size() <= MAXIMUM_INDIVIDUAL_LOG_LINES) {
+      instances.forEach(instance -> log(event, instance));
       return;
     }
     Map<String, Long> byService =
-        appeared.stream()
+        instances.stream()
             .collect(
                 Collectors.groupingBy(
                     instance -> instance.service().value(), TreeMap::new, Collectors.counting()));
@@ -139,8 +142,8 @@
         () ->
             eventLog.record(
                 EventLog.Level.INFO,
-                "instances_listed",
-                LogField.of("count", appeared.size()),
+                summaryEvent,
+                LogField.of("count", instances.size()),
                 LogField.of("services", byService)));
   }
 
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
@@ -30,6 +30,7 @@
 import org.kumquatvane.http.MessageSizeLimits;
 import org.kumquatvane.platform.PlatformDialect;
 import org.kumquatvane.platform.StoreClient;
+import org.kumquatvane.platform.StoreItemRules;
 import org.kumquatvane.platform.StoreItemTranslator;
 import org.kumquatvane.selection.InstanceRegistry;
 import org.kumquatvane.server.internal.EntryDecisionComponents;
@@ -112,11 +113,15 @@
               decisions.instances().update(instances);
               connections.update(instances);
             });
-    store = new StoreClient(settings.sourceEndpoint(), ioExecutor);
+    StoreItemRules itemRules = new StoreItemRules(runtime.clock());
+    store =
+        new StoreClient(
+            settings.sourceEndpoint(), itemRules, ioExecutor, runtime.counters(), eventLog);
     feed =
         new ItemFeed(
             ItemFeedSettings.STANDARD,
             store,
+            itemRules,
             fleet.membership()::localPeers,
             () -> fleet.membership().rank(ItemFeed.readerSelectionKey()),
             fleet.network(),
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
@@ -236,6 +236,15 @@
     return instances.get(index);
   }
 
+  List<Vm> vms() {
+    return List.copyOf(vms);
+  }
+
+  /** Leaves out a VM that has ended. */
+  void forget(Vm vm) {
+    vms.remove(vm);
+  }
+
   Vm vm(int index) {
     return vms.get(index);
   }
