Keep the newest limit whatever the coordinator knows

Cause: an absent value meant no limit. The coordinator left out workspaces that its own document didn't have, or had without a limit; the answer still counted as one, and the reporting VMs took the missing fraction for 1. An answer didn't tell from which document it was worked out, so an old limit was used like a new one. An expired share counted as 1 too, so that VMs with few requests of an overloaded workspace admitted each first one.

Change: reports carry the sender's generation, limits and number of VMs. The coordinator uses the newest limit that it or a reporting VM knows, answers for each reported workspace and names the generation; a VM ignores answers from before its limit changed. Without an answer for a workspace a VM admits for 0.4 s, and then its own part. Shares of overloaded workspaces go to all reporting VMs. A coordinator that has restarted takes the number of VMs from the reports.

--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/DemandShare.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/DemandShare.java
@@ -22,6 +22,8 @@
    * @param workspace the workspace
    * @param fraction fraction of arriving requests that may be admitted, 0 to 1
    * @param fleetRate requests of the workspace per second across the fleet
+   * @param generation generation of the document that the limit was taken from; {@link
+   *     DemandReport#NO_GENERATION} if it is not known
    */
-  public record Share(WorkspaceId workspace, double fraction, double fleetRate) {}
+  public record Share(WorkspaceId workspace, double fraction, double fleetRate, long generation) {}
 }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +42,11 @@
  * by requests that arrive within one report interval. A coordinator distributes only the fraction
  * of the rate that belongs to the VMs that report to it, and a VM without a coordinator uses its
  * own fraction, so that the two sides of a network partition together do not exceed the rate.
+ *
+ * <p>VMs learn of a document at different times. A report names the limits that the sender knows,
+ * and a share the generation of the document whose limit it was computed from: the newest one that
+ * the coordinator or a reporting VM knows. A VM ignores shares of an older limit, and takes a
+ * missing share for a coordinator that cannot decide, not for a missing limit.
  */
 public final class FleetDemandLimiter implements RateLimiter, DocumentListener {
   /** Report interval; the requests admitted within one interval are covered by the limit slack. */
@@ -49,6 +55,12 @@
   /** Validity of shares and demand reports; covers three lost reports. */
   private static final Duration VALIDITY = Duration.ofMillis(1_200);
 
+  /** Time for which the bucket of a workspace that only other VMs know is kept without reports. */
+  private static final Duration FOREIGN_BUCKET_RETENTION = Duration.ofSeconds(60);
+
+  /** Maximum number of shares in an answer beside those of the reported workspaces. */
+  private static final int MAXIMUM_FURTHER_SHARES = 100;
+
   /** Retry delay for refused callers: the time in which the fraction adapts to the demand. */
   private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
@@ -64,13 +76,27 @@
   private final EventLog eventLog;
   private final Map<WorkspaceId, LocalDemand> localDemands = new HashMap<>();
   private final Map<WorkspaceId, FleetTokenBucket> fleetBuckets = new HashMap<>();
-  private final Map<VmId, Deadline> reporterExpiry = new HashMap<>();
+  private final Map<VmId, Reporter> reporters = new HashMap<>();
+
+  /** Workspaces of which this VM, as the coordinator, lets only a part of the requests in. */
+  private final Set<WorkspaceId> limitedWorkspaces = new LinkedHashSet<>();
+
+  private long generation = DemandReport.NO_GENERATION;
   private Deadline shareValidUntil;
   private Deadline coordinatorSwitchDeadline;
   private int coordinatorIndex;
+  private int mostPossibleVms;
   private long lastReportNanos;
   private boolean isWithoutCoordinator = true;
 
+  /**
+   * A VM that reports to this one.
+   *
+   * @param validUntil when it no longer counts
+   * @param possibleVms number of VMs that may be running, as far as it knows
+   */
+  private record Reporter(Deadline validUntil, int possibleVms) {}
+
   /**
    * Creates a limiter that admits nothing before the first document.
    *
@@ -127,15 +153,20 @@
   public void documentInForce(Document document) {
     lock.run(
         () -> {
+          generation = document.generation();
           Set<WorkspaceId> present = new HashSet<>();
           for (Workspace workspace : document.workspaces()) {
             present.add(workspace.id());
             localDemands
-                .computeIfAbsent(workspace.id(), unused -> new LocalDemand(workspace.rate()))
-                .setLimit(workspace.rate());
+                .computeIfAbsent(
+                    workspace.id(), unused -> new LocalDemand(workspace.rate(), generation))
+                .setLimit(workspace.rate(), generation);
+            @Nullable FleetTokenBucket bucket = fleetBuckets.get(workspace.id());
+            if (bucket != null) {
+              bucket.adoptLimit(workspace.rate(), generation);
+            }
           }
           localDemands.keySet().retainAll(present);
-          fleetBuckets.keySet().retainAll(present);
         });
   }
 
@@ -157,7 +188,7 @@
     boolean admitted =
         withoutCoordinator
             ? demand.admitWithoutCoordinator(1.0 / vms, clock.monotonicNanos())
-            : demand.admitByFraction(clock);
+            : demand.admitByFraction(clock, 1.0 / vms);
     return admitted
         ? new LimitDecision.Admitted()
         : new LimitDecision.RateLimited(
@@ -169,7 +200,7 @@
     List<VmId> order = coordinatorOrder.get();
     int vms = possibleVms.getAsInt();
     List<DemandReport> reports = new ArrayList<>();
-    Optional<VmId> coordinator = lock.call(() -> prepareReport(order, reports));
+    Optional<VmId> coordinator = lock.call(() -> prepareReport(order, vms, reports));
     if (coordinator.isPresent() && coordinator.get().equals(self)) {
       apply(lock.call(() -> coordinate(self, reports.get(0), vms)));
     } else if (coordinator.isPresent()) {
@@ -179,7 +210,7 @@
     scheduler.schedule(Deadline.after(clock, REPORT_INTERVAL), this::sendReport);
   }
 
-  private Optional<VmId> prepareReport(List<VmId> order, List<DemandReport> reports) {
+  private Optional<VmId> prepareReport(List<VmId> order, int vms, List<DemandReport> reports) {
     long now = clock.monotonicNanos();
     double seconds = (now - lastReportNanos) / 1e9;
     lastReportNanos = now;
@@ -189,12 +220,13 @@
           boolean active = demand.hasArrivals() && !demand.limit().isUnlimited();
           LocalDemand.Counts counts = demand.takeCounts(seconds);
           if (active) {
-            demands.add(new DemandReport.Demand(workspace, counts.arrived(), counts.admitted()));
+            demands.add(
+                new DemandReport.Demand(
+                    workspace, counts.arrived(), counts.admitted(), Optional.of(demand.limit())));
           }
         });
-    reports.add(new DemandReport(demands));
-    // Not at each received report, since that would take time in proportion to the square of VMs.
-    reporterExpiry.values().removeIf(until -> until.isReached(clock));
+    reports.add(new DemandReport(generation, vms, demands));
+    removeExpired();
     recordCoordinatorLoss();
     if (order.isEmpty()) {
       return Optional.empty();
@@ -208,6 +240,20 @@
     return Optional.of(order.get(coordinatorIndex % order.size()));
   }
 
+  /** Not at each received report, since that would take time in proportion to the square of VMs. */
+  private void removeExpired() {
+    reporters.values().removeIf(reporter -> reporter.validUntil().isReached(clock));
+    mostPossibleVms = reporters.values().stream().mapToInt(Reporter::possibleVms).max().orElse(0);
+    // The bucket of a workspace in the document is kept, since a new one is empty.
+    fleetBuckets
+        .entrySet()
+        .removeIf(
+            entry ->
+                !localDemands.containsKey(entry.getKey())
+                    && entry.getValue().idleNanos() > FOREIGN_BUCKET_RETENTION.toNanos());
+    limitedWorkspaces.retainAll(fleetBuckets.keySet());
+  }
+
   private void recordCoordinatorLoss() {
     if (!isWithoutCoordinator && shareValidUntil.isReached(clock)) {
       isWithoutCoordinator = true;
@@ -222,25 +268,80 @@
   }
 
   private DemandShare coordinate(VmId from, DemandReport report, int vms) {
-    reporterExpiry.put(from, Deadline.after(clock, VALIDITY));
-    double fraction = Math.min(1, (double) reporterExpiry.size() / Math.max(1, vms));
+    reporters.put(from, new Reporter(Deadline.after(clock, VALIDITY), report.possibleVms()));
+    mostPossibleVms = Math.max(mostPossibleVms, report.possibleVms());
+    // A coordinator that has just started knows few VMs, but those that report to it know more.
+    double fraction =
+        Math.min(1, (double) reporters.size() / Math.max(1, Math.max(vms, mostPossibleVms)));
     List<DemandShare.Share> shares = new ArrayList<>();
+    Set<WorkspaceId> reported = new HashSet<>();
     for (DemandReport.Demand demand : report.demands()) {
-      @Nullable LocalDemand localDemand = localDemands.get(demand.workspace());
-      if (localDemand == null || localDemand.limit().isUnlimited()) {
-        continue;
-      }
-      RateLimit limit = slack.extend(localDemand.limit(), fraction);
-      FleetTokenBucket bucket =
-          fleetBuckets.computeIfAbsent(demand.workspace(), unused -> new FleetTokenBucket(clock));
-      bucket.recordReport(demand.arrived(), demand.admitted(), limit);
-      shares.add(
-          new DemandShare.Share(
-              demand.workspace(), bucket.admissibleFraction(limit), bucket.arrivalsPerSecond()));
+      reported.add(demand.workspace());
+      bucketFor(demand, report.generation())
+          .ifPresent(
+              bucket -> {
+                bucket.recordReport(demand.arrived(), demand.admitted());
+                shares.add(computeShare(demand.workspace(), bucket, fraction));
+              });
     }
+    // A VM with few requests of a workspace learns of its overload before the next one arrives.
+    limitedWorkspaces.stream()
+        .filter(workspace -> !reported.contains(workspace))
+        .limit(MAXIMUM_FURTHER_SHARES)
+        .toList()
+        .forEach(
+            workspace -> {
+              @Nullable FleetTokenBucket bucket = fleetBuckets.get(workspace);
+              if (bucket != null) {
+                shares.add(computeShare(workspace, bucket, fraction));
+              }
+            });
     return new DemandShare(shares);
   }
 
+  /**
+   * Returns the bucket of a workspace with the newest limit known to this VM or a reporting one;
+   * empty if neither knows a limit, in which case the reporting VM has to do without a share.
+   */
+  private Optional<FleetTokenBucket> bucketFor(
+      DemandReport.Demand demand, long reportedGeneration) {
+    @Nullable LocalDemand local = localDemands.get(demand.workspace());
+    RateLimit limit;
+    long limitGeneration;
+    if (local != null && (demand.limit().isEmpty() || reportedGeneration <= generation)) {
+      limit = local.limit();
+      limitGeneration = generation;
+    } else if (demand.limit().isPresent()) {
+      limit = demand.limit().get();
+      limitGeneration = reportedGeneration;
+    } else {
+      return Optional.empty();
+    }
+    FleetTokenBucket bucket =
+        fleetBuckets.computeIfAbsent(
+            demand.workspace(), unused -> new FleetTokenBucket(clock, limit, limitGeneration));
+    bucket.adoptLimit(limit, limitGeneration);
+    return Optional.of(bucket);
+  }
+
+  private DemandShare.Share computeShare(
+      WorkspaceId workspace, FleetTokenBucket bucket, double fractionOfFleet) {
+    if (bucket.fleetLimit().isUnlimited()) {
+      // The reporting VM does not know yet that the limit was removed.
+      limitedWorkspaces.remove(workspace);
+      return new DemandShare.Share(workspace, 1, 0, bucket.generation());
+    }
+    double admissible =
+        bucket.admissibleFraction(slack.extend(bucket.fleetLimit(), fractionOfFleet));
+    if (admissible < 1) {
+      limitedWorkspaces.add(workspace);
+    } else {
+      limitedWorkspaces.remove(workspace);
+    }
+    return new DemandShare.Share(
+        workspace, admissible, bucket.arrivalsPerSecond(), bucket.generation());
+  }
+
   private void onDemandShare(VmId from, DemandShare message) {
     apply(message);
   }
@@ -252,8 +353,7 @@
               for (DemandShare.Share share : message.shares()) {
                 @Nullable LocalDemand demand = localDemands.get(share.workspace());
                 if (demand != null && share.fraction() >= 0 && share.fraction() <= 1) {
-                  demand.setShare(
-                      share.fraction(), share.fleetRate(), Deadline.after(clock, VALIDITY));
+                  demand.setShare(share, Deadline.after(clock, VALIDITY));
                 }
               }
               shareValidUntil = Deadline.after(clock, VALIDITY);
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/FleetTokenBucket.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/FleetTokenBucket.java
@@ -17,18 +17,66 @@
   private static final double AVERAGING_SECONDS = 0.6;
 
   private final Clock clock;
+  private RateLimit fleetLimit;
+  private long generation;
   private double tokens;
   private double recentArrivals;
   private long updatedNanos;
+  private long reportedNanos;
 
   /**
    * Creates an empty bucket, since an earlier coordinator may just have spent the burst.
    *
    * @param clock clock of the bucket
+   * @param fleetLimit rate and burst of the workspace across the fleet
+   * @param generation generation of the document with this limit
    */
-  public FleetTokenBucket(Clock clock) {
+  public FleetTokenBucket(Clock clock, RateLimit fleetLimit, long generation) {
     this.clock = clock;
+    this.fleetLimit = fleetLimit;
+    this.generation = generation;
     updatedNanos = clock.monotonicNanos();
+    reportedNanos = updatedNanos;
+  }
+
+  /**
+   * Changes the limit, unless the one known is of a newer document.
+   *
+   * @param newLimit rate and burst of the workspace across the fleet
+   * @param newGeneration generation of the document with this limit
+   */
+  public void adoptLimit(RateLimit newLimit, long newGeneration) {
+    if (newGeneration >= generation) {
+      fleetLimit = newLimit;
+      generation = newGeneration;
+    }
+  }
+
+  /**
+   * Returns the limit.
+   *
+   * @return rate and burst of the workspace across the fleet in the newest known document
+   */
+  public RateLimit fleetLimit() {
+    return fleetLimit;
+  }
+
+  /**
+   * Returns the generation of the document from which the limit was taken.
+   *
+   * @return the generation
+   */
+  public long generation() {
+    return generation;
+  }
+
+  /**
+   * Returns how long no VM has reported requests.
+   *
+   * @return nanoseconds since the last report
+   */
+  public long idleNanos() {
+    return clock.monotonicNanos() - reportedNanos;
   }
 
   /**
@@ -36,10 +84,9 @@
    *
    * @param arrived requests that arrived at a VM since its last report
    * @param admitted requests that it admitted
-   * @param limit rate and burst that the reporting VMs may use together
    */
-  public void recordReport(long arrived, long admitted, RateLimit limit) {
-    advance(limit);
+  public void recordReport(long arrived, long admitted) {
+    reportedNanos = clock.monotonicNanos();
     tokens -= admitted;
     recentArrivals += arrived;
   }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LocalDemand.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/LocalDemand.java
@@ -1,10 +1,12 @@
 package org.kumquatvane.limits.internal;
 
+import java.time.Duration;
 import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Clock;
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.document.RateLimit;
+import org.kumquatvane.limits.DemandShare;
 import org.kumquatvane.limits.TokenBucket;
 
 /**
@@ -18,12 +20,20 @@
   /** Smallest burst of a VM without the coordinator, for bursty requests. */
   private static final double MINIMUM_BURST_REQUESTS = 2;
 
+  /**
+   * Time for which requests are admitted before the coordinator has answered the first report of
+   * them: a report interval and the transmission.
+   */
+  private static final Duration UNSHARED_TIME = Duration.ofMillis(400);
+
   private RateLimit limit;
+  private long limitGeneration;
   private long arrived;
   private long admitted;
   private double arrivalsPerSecond;
   private double admittedFraction = 1;
   private @Nullable Deadline fractionValidUntil;
+  private @Nullable Deadline unsharedUntil;
   private double admissionCredit = 1;
   private double fleetRate;
   private @Nullable TokenBucket fallbackBucket;
@@ -32,19 +42,23 @@
    * Creates a demand without requests.
    *
    * @param limit rate and burst of the workspace across the fleet
+   * @param generation generation of the document with this limit
    */
-  public LocalDemand(RateLimit limit) {
+  public LocalDemand(RateLimit limit, long generation) {
     this.limit = limit;
+    limitGeneration = generation;
   }
 
   /**
    * Changes the limit.
    *
    * @param newLimit rate and burst of the workspace across the fleet
+   * @param generation generation of the document with this limit
    */
-  public void setLimit(RateLimit newLimit) {
+  public void setLimit(RateLimit newLimit, long generation) {
     if (!limit.equals(newLimit)) {
       limit = newLimit;
+      limitGeneration = generation;
       fallbackBucket = null;
     }
   }
@@ -59,29 +73,51 @@
   }
 
   /**
-   * Applies the share computed by the coordinator.
+   * Applies the share computed by the coordinator, unless it was computed from an older document
+   * with another limit.
    *
-   * @param newFraction fraction of the requests that may be admitted
-   * @param newFleetRate requests per second across the fleet
+   * @param share the share
    * @param validUntil when the fraction expires
    */
-  public void setShare(double newFraction, double newFleetRate, Deadline validUntil) {
-    admittedFraction = newFraction;
+  public void setShare(DemandShare.Share share, Deadline validUntil) {
+    if (share.generation() < limitGeneration) {
+      return;
+    }
+    admittedFraction = share.fraction();
     fractionValidUntil = validUntil;
-    fleetRate = newFleetRate;
+    fleetRate = share.fleetRate();
     fallbackBucket = null;
+    unsharedUntil = null;
   }
 
   /**
-   * Decides on a request by the coordinator's fraction.
+   * Decides on a request by the coordinator's fraction. Without one the coordinator may not have
+   * been told of the workspace yet, which is bridged for a short time; after that its silence does
+   * not mean that there is no limit.
    *
-   * @param clock clock of the fraction's deadline
+   * @param clock clock of the deadlines
+   * @param evenFraction one over the number of VMs
    * @return whether it is admitted
    */
-  public boolean admitByFraction(Clock clock) {
-    arrived++;
+  public boolean admitByFraction(Clock clock, double evenFraction) {
     Deadline until = fractionValidUntil;
-    double fraction = until == null || until.isReached(clock) ? 1 : admittedFraction;
+    if (until != null && !until.isReached(clock)) {
+      arrived++;
+      return spendCredit(admittedFraction);
+    }
+    Deadline bridgedUntil = unsharedUntil;
+    if (bridgedUntil == null) {
+      bridgedUntil = Deadline.after(clock, UNSHARED_TIME);
+      unsharedUntil = bridgedUntil;
+    }
+    if (bridgedUntil.isReached(clock)) {
+      return admitWithoutCoordinator(evenFraction, clock.monotonicNanos());
+    }
+    arrived++;
+    return spendCredit(1);
+  }
+
+  private boolean spendCredit(double fraction) {
     admissionCredit = Math.min(1, admissionCredit + fraction);
     if (fraction < 1 && admissionCredit < 1) {
       return false;
@@ -126,9 +162,10 @@
   public String describe() {
     return String.format(
         Locale.ROOT,
-        "rate=%.1f burst=%.1f fleet_rate=%.1f fraction=%.2f",
+        "rate=%.1f burst=%.1f generation=%d fleet_rate=%.1f fraction=%.2f",
         limit.requestsPerSecond(),
         limit.burstRequests(),
+        limitGeneration,
         fleetRate,
         admittedFraction);
   }
--- a/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/DemandShareCodec.java
+++ b/kumquatvane-peering/src/main/java/org/kumquatvane/peering/codec/DemandShareCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import org.kumquatvane.core.WorkspaceId;
+import org.kumquatvane.limits.DemandReport;
 import org.kumquatvane.limits.DemandShare;
 
 /** Codec of {@link DemandShare}. */
@@ -11,6 +12,7 @@
   private static final int WORKSPACE = 1;
   private static final int FRACTION = 2;
   private static final int FLEET_RATE = 3;
+  private static final int GENERATION = 4;
 
   @Override
   public int type() {
@@ -31,6 +33,7 @@
     fields.writeString(WORKSPACE, share.workspace().value());
     fields.writeDouble(FRACTION, share.fraction());
     fields.writeDouble(FLEET_RATE, share.fleetRate());
+    fields.writeLong(GENERATION, share.generation());
   }
 
   @Override
@@ -49,14 +52,16 @@
     String workspace = "";
     double fraction = 0;
     double fleetRate = 0;
+    long generation = DemandReport.NO_GENERATION;
     for (int field = fields.nextField(); field >= 0; field = fields.nextField()) {
       switch (field) {
         case WORKSPACE -> workspace = fields.readString();
         case FRACTION -> fraction = fields.readDouble();
         case FLEET_RATE -> fleetRate = fields.readDouble();
+        case GENERATION -> generation = fields.readLong();
         default -> fields.skipValue();
       }
     }
-    return new DemandShare.Share(new WorkspaceId(workspace), fraction, fleetRate);
+    return new DemandShare.Share(new WorkspaceId(workspace), fraction, fleetRate, generation);
   }
 }
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -22,6 +22,7 @@
 import org.kumquatvane.distribution.KeyWithdrawal;
 import org.kumquatvane.distribution.SourceItem;
 import org.kumquatvane.distribution.VmListReport;
+import org.kumquatvane.document.RateLimit;
 import org.kumquatvane.ejection.AttemptOutcome;
 import org.kumquatvane.ejection.CrashReport;
 import org.kumquatvane.ejection.InstanceEvidence;
@@ -126,8 +127,13 @@
         new LeaseGrant(5, WORKSPACE, 0.125, 3.5, 900_000_000),
         new TokenRequest(6, WORKSPACE, 2, true, 100),
         new TokenGrant(6, WORKSPACE, 0, 50),
-        new DemandReport(List.of(new DemandReport.Demand(WORKSPACE, 7, 5))),
-        new DemandShare(List.of(new DemandShare.Share(WORKSPACE, 0.25, 88.5))));
+        new DemandReport(
+            12,
+            40,
+            List.of(
+                new DemandReport.Demand(WORKSPACE, 7, 5, Optional.of(new RateLimit(4.5, 9))),
+                new DemandReport.Demand(new WorkspaceId("other"), 1, 0, Optional.empty()))),
+        new DemandShare(List.of(new DemandShare.Share(WORKSPACE, 0.25, 88.5, 12))));
   }
 
   private static List<PeerMessage> operations() {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/PlatformFleet.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -20,6 +21,7 @@
 import org.kumquatvane.platform.trial.StoreStandIn;
 import org.kumquatvane.verification.process.Conditions;
 import org.kumquatvane.verification.process.DeployedCommand;
+import org.kumquatvane.verification.process.FaultProxy;
 import org.kumquatvane.verification.process.Ports;
 
 /**
@@ -41,10 +43,21 @@
   private final List<InstanceStandIn> instances = new ArrayList<>();
   private final List<Vm> vms = new ArrayList<>();
   private final int stopGraceSeconds;
+  private final Placement placement;
+  private String furtherTenants = "";
   private int version;
 
+  /** Where the VMs are. */
+  enum Placement {
+    ONE_FAILURE_DOMAIN,
+    /** Each VM reads the store itself, through a proxy of its own. */
+    FAILURE_DOMAIN_EACH
+  }
+
   /** One process. */
   static final class Vm {
+    private final String failureDomain;
+    private final Optional<FaultProxy> storeProxy;
     private final int callerPort = Ports.findFree();
     private final int operatorPort = Ports.findFree();
     private final int peerPort = Ports.findFree();
@@ -52,7 +65,14 @@
     private final Path log;
     private Process process;
 
-    private Vm(Path settings, Path log, Process process) {
+    private Vm(
+        Path settings,
+        Path log,
+        Process process,
+        String failureDomain,
+        Optional<FaultProxy> storeProxy) {
+      this.failureDomain = failureDomain;
+      this.storeProxy = storeProxy;
       this.settings = settings;
       this.log = log;
       this.process = process;
@@ -62,6 +82,11 @@
       return callerPort;
     }
 
+    /** Cuts this VM off from the store; its connections hang. */
+    void cutOffFromStore() {
+      storeProxy.orElseThrow().block(true, true);
+    }
+
     Process process() {
       return process;
     }
@@ -85,7 +110,13 @@
   }
 
   PlatformFleet(int vmCount, int instanceCount, int stopGraceSeconds) throws IOException {
+    this(vmCount, instanceCount, stopGraceSeconds, Placement.ONE_FAILURE_DOMAIN);
+  }
+
+  PlatformFleet(int vmCount, int instanceCount, int stopGraceSeconds, Placement placement)
+      throws IOException {
     this.stopGraceSeconds = stopGraceSeconds;
+    this.placement = placement;
     for (int i = 0; i < instanceCount; i++) {
       InstanceStandIn instance = new InstanceStandIn("i-" + i, "sessions");
       instances.add(instance);
@@ -109,7 +140,14 @@
     String name = "vm-" + UUID.randomUUID();
     Path settings = directory.resolve(name + ".json");
     Path log = directory.resolve(name + ".log");
-    Vm vm = new Vm(settings, log, new ProcessBuilder("true").start());
+    boolean isSeparate = placement == Placement.FAILURE_DOMAIN_EACH;
+    Vm vm =
+        new Vm(
+            settings,
+            log,
+            new ProcessBuilder("true").start(),
+            isSeparate ? "domain-" + vms.size() : "a",
+            isSeparate ? Optional.of(new FaultProxy(store.port())) : Optional.empty());
     writeSettings(vm, settings(name, vm));
     vms.add(vm);
     return vm;
@@ -164,7 +202,7 @@
   private String settings(String name, Vm vm, int seed) {
     return """
         {
-          "vmName": "%s", "failureDomain": "a",
+          "vmName": "%s", "failureDomain": "%s",
           "callerAddress": "127.0.0.1:%d", "operatorAddress": "127.0.0.1:%d",
           "peerAddress": "127.0.0.1:%d", "seeds": ["127.0.0.1:%d"],
           "sourceAddress": "127.0.0.1:%d", "stopGraceSeconds": %d,
@@ -173,11 +211,12 @@
         """
         .formatted(
             name,
+            vm.failureDomain,
             vm.callerPort,
             vm.operatorPort,
             vm.peerPort,
             seed,
-            store.port(),
+            vm.storeProxy.map(FaultProxy::port).orElse(store.port()),
             stopGraceSeconds);
   }
 
@@ -223,9 +262,21 @@
          "limits":{"maxHeaderBytes":16384,"maxBodyBytes":%5$d,"headerTimeoutS":3,
                    "idleTimeoutS":15},
          "tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
-          "rows":[["alpha",[%4$s],null,0,0]]}}
+          "rows":[["alpha",[%4$s],null,0,0]%6$s]}}
         """
-            .formatted(version, ROUTE_TIMEOUT.toSeconds(), bookings, granted, maximumBodyBytes));
+            .formatted(
+                version,
+                ROUTE_TIMEOUT.toSeconds(),
+                bookings,
+                granted,
+                maximumBodyBytes,
+                furtherTenants));
+  }
+
+  /** Publishes the same configuration with a further workspace that has a limit. */
+  void publishWithLimit(String key, int ratePerSecond, int burst) {
+    furtherTenants = ",[\"limited\",[\"%s\"],null,%d,%d]".formatted(key, ratePerSecond, burst);
+    publish(List.of(KEY), "/bookings/");
   }
 
   StoreStandIn store() {
@@ -286,6 +337,15 @@
   @Override
   public void close() {
     vms.forEach(vm -> vm.process.destroyForcibly());
+    for (Vm vm : vms) {
+      try {
+        if (vm.storeProxy.isPresent()) {
+          vm.storeProxy.get().close();
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
     instances.forEach(InstanceStandIn::close);
     store.close();
   }
