Count the seeds among the VMs that may be running

Cause: possibleVms counted the member table alone, which is empty after a start, so each VM took itself for the whole fleet.

Change: a VM counts at least itself and the other seeds of its settings.

More than four VMs that don't find each other can still exceed a limit, since nothing tells how many there are.

--- a/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipMembership.java
+++ b/kumquatvane-membership/src/main/java/org/kumquatvane/membership/GossipMembership.java
@@ -280,12 +280,14 @@
 
   /**
    * Returns the number of VMs that may be running, including this VM and VMs that may be
-   * partitioned from it.
+   * partitioned from it. A VM that has reached no other one counts the seeds, which may be cut off
+   * from it like other VMs that it can't know of; else each such VM would use the shares of all.
    *
    * @return the number of VMs, at least 1
    */
   public int possibleVms() {
-    return lock.call(() -> 1 + table.possiblyRunning());
+    long otherSeeds = seeds.stream().filter(seed -> !seed.equals(self.peerAddress())).count();
+    return 1 + Math.max((int) otherSeeds, lock.call(table::possiblyRunning));
   }
 
   /** Announces the planned stop to all VMs of the same failure domain. */
--- a/kumquatvane-membership/src/test/java/org/kumquatvane/membership/GossipMembershipTest.java
+++ b/kumquatvane-membership/src/test/java/org/kumquatvane/membership/GossipMembershipTest.java
@@ -95,6 +95,20 @@
     members.forEach(member -> assertEquals(8, member.allPeers().size()));
   }
 
+  /**
+   * VMs that start while all seeds are down don't find each other. None of them may take itself for
+   * the whole fleet, with the whole limits of all workspaces.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 6})
+  void vmWithoutReachableSeedIsNotTheWholeFleet(int vms) {
+    start(vms, endpoint(200), endpoint(201), endpoint(202));
+    for (int second = 0; second < 120; second++) {
+      members.forEach(member -> assertEquals(4, member.possibleVms()));
+      scheduler.advance(Duration.ofSeconds(1));
+    }
+  }
+
   @Test
   void ranksAreUniqueWithinFailureDomain() {
     start(12, endpoint(0));
