Cancel the timer of a wait that has ended

Cause: QueueWait left its timer behind. The body was there twice, as collected and as sent.

Change: the end of a wait cancels its timer, and a body with a declared length is collected in the array that is sent.

--- a/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/QueueWait.java
+++ b/kumquatvane-engine/src/main/java/org/kumquatvane/engine/internal/QueueWait.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.Deadline;
+import org.kumquatvane.core.Scheduler;
 import org.kumquatvane.engine.EngineDependencies;
 
 /** Timeout and periodic rechecks of one queued request. */
@@ -12,6 +13,7 @@
 
   private final EngineDependencies dependencies;
   private volatile @Nullable Runnable recheck;
+  private volatile Scheduler.@Nullable Scheduled timeoutTask;
 
   QueueWait(EngineDependencies dependencies) {
     this.dependencies = dependencies;
@@ -27,15 +29,19 @@
    */
   void begin(Deadline timeout, Runnable onTimeout, Runnable onRecheck) {
     recheck = onRecheck;
-    dependencies
-        .scheduler()
-        .schedule(
-            timeout,
-            () -> {
-              if (recheck != null) {
-                onTimeout.run();
-              }
-            });
+    timeoutTask =
+        dependencies
+            .scheduler()
+            .schedule(
+                timeout,
+                () -> {
+                  if (recheck != null) {
+                    onTimeout.run();
+                  }
+                });
+    if (recheck == null) {
+      cancelTimeout();
+    }
     scheduleRecheck();
   }
 
@@ -56,5 +62,15 @@
   /** Ends the wait. */
   void end() {
     recheck = null;
+    cancelTimeout();
+  }
+
+  /** A timer that is left would keep the request and its body in memory until its deadline. */
+  private void cancelTimeout() {
+    Scheduler.Scheduled task = timeoutTask;
+    if (task != null) {
+      timeoutTask = null;
+      task.cancel();
+    }
   }
 }
--- a/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
+++ b/kumquatvane-engine/src/test/java/org/kumquatvane/engine/RequestEngineTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -287,6 +288,28 @@
     assertEquals(0, fixture.engine.inFlight());
   }
 
+  /**
+   * Guards against timers that keep a request and its body in memory after its response. Uploads of
+   * 200 KB filled the heap in this way, though the budget for bodies was kept.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 4})
+  void answeredRequestsLeaveNoTimer(int requests) {
+    int before = fixture.scheduler.pending();
+    List<ScriptedExchange> exchanges = new ArrayList<>();
+    for (int i = 0; i < requests; i++) {
+      exchanges.add(new ScriptedExchange());
+      fixture.lookUp(exchanges.get(i));
+    }
+    for (ScriptedExchange waiting : exchanges) {
+      elapse(Duration.ofMillis(70));
+      waiting.attempts().get(0).respond(new ResponseHead(200, false, false));
+    }
+    elapse(Duration.ofMillis(70));
+    assertEquals(0, fixture.engine.inFlight());
+    assertEquals(before, fixture.scheduler.pending());
+  }
+
   /** Guards against a queue that grows without bound. */
   @Test
   void refusesWhenQueueIsFull() {
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyReader.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyReader.java
@@ -5,7 +5,7 @@
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.StreamingHttpRequest;
-import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.kumquatvane.core.Reason;
@@ -62,15 +62,16 @@
                   Reason.OVERLOADED, "the memory for buffered request bodies is exhausted")));
     }
     AtomicLong received = new AtomicLong();
+    boolean isDeclared = BodyFraming.declaredLength(request.headers()).isPresent();
     return request
         .payloadBody()
         .takeWhile(chunk -> received.addAndGet(chunk.readableBytes()) <= maximumBytes)
-        .collect(ByteArrayOutputStream::new, BodyReader::append)
+        .collect(() -> new Collector(isDeclared ? (int) maximumBytes : 0), Collector::append)
         .map(
-            collected ->
+            collector ->
                 received.get() > maximumBytes
                     ? releaseAndRefuse(maximumBytes)
-                    : ready(collected.toByteArray(), maximumBytes, allocator))
+                    : ready(collector.toBytes(), maximumBytes, allocator))
         .beforeOnError(failure -> budget.release(maximumBytes))
         .beforeCancel(() -> budget.release(maximumBytes));
   }
@@ -89,11 +90,31 @@
             Publisher.defer(() -> Publisher.from(allocator.wrap(bytes)))));
   }
 
-  private static ByteArrayOutputStream append(ByteArrayOutputStream collected, Buffer chunk) {
-    byte[] bytes = new byte[chunk.readableBytes()];
-    chunk.readBytes(bytes);
-    collected.writeBytes(bytes);
-    return collected;
+  /**
+   * Collects a body. The array of a body with a declared length is the one that is sent: a copy
+   * beside it would double the memory that the budget counts.
+   */
+  private static final class Collector {
+    private byte[] bytes;
+    private int length;
+
+    private Collector(int declaredLength) {
+      bytes = new byte[declaredLength];
+    }
+
+    private Collector append(Buffer chunk) {
+      int added = chunk.readableBytes();
+      if (length + added > bytes.length) {
+        bytes = Arrays.copyOf(bytes, Math.max(length + added, 2 * bytes.length));
+      }
+      chunk.readBytes(bytes, length, added);
+      length += added;
+      return this;
+    }
+
+    private byte[] toBytes() {
+      return length == bytes.length ? bytes : Arrays.copyOf(bytes, length);
+    }
   }
 
   private static BodyResult stream(
