Accept only the statuses of the protocol as responses

Cause: the scanner of response heads took any three digits for a status. One below 200 counted as an interim response, so a response of 000 was dropped and the bytes after its head were read as the next head. No place said which statuses are an answer.

Change: ResponseStatus says it, 100 to 599. Anything else makes the response malformed, on every connection, for each framing and for HEAD.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseHeadScanner.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseHeadScanner.java
@@ -14,7 +14,7 @@
 final class ResponseHeadScanner implements MessageScanner {
   private static final String VERSION = "HTTP/1.";
   private static final int STATUS_INDEX = "HTTP/1.1 ".length();
-  private static final int STATUS_END = STATUS_INDEX + 3;
+  private static final int STATUS_END = STATUS_INDEX + ResponseStatus.LENGTH;
   private static final int DECIMAL = 10;
 
   private final String requestIdField;
@@ -94,7 +94,7 @@
     if (!hasStatusLine) {
       hasStatusLine = true;
       status = parseStatus(line);
-      if (status < 0 || containsStatusLine(line, 1)) {
+      if (status == ResponseStatus.INVALID || containsStatusLine(line, 1)) {
         state = State.MALFORMED;
       }
     } else if (line.isEmpty()) {
@@ -149,9 +149,9 @@
   private static int parseStatus(String line) {
     if (!isStatusLineAt(line, 0)
         || (line.length() > STATUS_END && line.charAt(STATUS_END) != ' ')) {
-      return -1;
+      return ResponseStatus.INVALID;
     }
-    return Integer.parseInt(line.substring(STATUS_INDEX, STATUS_END));
+    return ResponseStatus.parse(line, STATUS_INDEX);
   }
 
   private static boolean containsStatusLine(String line, int from) {
@@ -172,9 +172,7 @@
       return false;
     }
     return isDigit(line.charAt(index + VERSION.length()))
-        && isDigit(line.charAt(index + STATUS_INDEX))
-        && isDigit(line.charAt(index + STATUS_INDEX + 1))
-        && isDigit(line.charAt(index + STATUS_INDEX + 2));
+        && ResponseStatus.isNumber(line, index + STATUS_INDEX);
   }
 
   private static boolean isDigit(char character) {
--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseScanner.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/ResponseScanner.java
@@ -9,8 +9,6 @@
  * after an interim response.
  */
 final class ResponseScanner implements MessageScanner {
-  private static final int FIRST_FINAL_STATUS = 200;
-
   private final boolean isHeadRequest;
   private final String requestIdField;
   private ResponseHeadScanner head;
@@ -61,10 +59,10 @@
   }
 
   private void acceptHead() {
-    if (head.status() >= FIRST_FINAL_STATUS) {
+    if (ResponseStatus.isFinal(head.status())) {
       finalHead = head;
       current = bodyScanner();
-    } else if (head.status() != HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+    } else if (ResponseStatus.isInterim(head.status())) {
       head = new ResponseHeadScanner(requestIdField);
       current = head;
     } else {
--- a/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseScannerTest.java
+++ b/kumquatvane-http/src/test/java/org/kumquatvane/http/internal/ResponseScannerTest.java
@@ -1,14 +1,17 @@
 package org.kumquatvane.http.internal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a wrong end of a response: bytes after it would be taken for a part of it, or for
@@ -71,6 +74,32 @@
         OK + "Content-Length: 4\r\n\r\n", OK + "Transfer-Encoding: chunked\r\n\r\n", OK + "\r\n");
   }
 
+  /**
+   * A status outside the range of the protocol is no answer. A caller got one of 600 and 999 as it
+   * was, and one of 000 counted as an interim response.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "000", "001", "042", "099", "0", "20", "2", "0200", "00200", "600", "999", "1000", "2000",
+        "+200", "-200", "2e2", "OK", "", " 200"
+      })
+  void invalidStatusIsNoResponse(String status) {
+    for (boolean isHeadRequest : new boolean[] {true, false}) {
+      for (String earlier : List.of("", "HTTP/1.1 100 Continue\r\n\r\n")) {
+        for (String framing : List.of("Content-Length: 2", "Transfer-Encoding: chunked", "A: b")) {
+          for (String body : List.of("", "2\r\nok\r\n0\r\n\r\n")) {
+            ResponseScanner scanner = new ResponseScanner(isHeadRequest, ID_FIELD);
+            String head = "HTTP/1.1 " + status + " Odd\r\n" + ID + framing + "\r\n\r\n";
+            scanInTwo(scanner, earlier + head + body, earlier.length() + 4);
+            assertEquals(MessageScanner.State.MALFORMED, scanner.state(), head);
+            assertNull(scanner.finalHead(), head);
+          }
+        }
+      }
+    }
+  }
+
   static Stream<Arguments> malformedResponses() {
     return Stream.of(
         Arguments.of("status line in a reason phrase", "HTTP/1.1 200 " + NEXT),
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/AmbiguousResponseProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/AmbiguousResponseProcessTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.kumquatvane.verification.process.Conditions;
 
@@ -24,6 +25,7 @@
   private static final long BEFORE_RESET_MILLIS = 200;
   private static final int FIRST_SUCCESS = 200;
   private static final int FIRST_REDIRECTION = 300;
+  private static final int BAD_GATEWAY = 502;
   private static final String ID = "X-Request-Id: %1$s\r\n";
   private static final String OTHER_ID = "X-Request-Id: another-request\r\n";
   private static final String SIGNATURE = "X-Response-Signature: %2$s\r\n";
@@ -37,6 +39,9 @@
   private SigningInstance instance;
   private volatile Head head = Head.ID_OF_ANOTHER_REQUEST_AFTER;
 
+  /** Status of unambiguous responses; empty while ambiguous ones are sent. */
+  private volatile String invalidStatus = "";
+
   /** What follows the status line; the first parameter is the ID, then signature and body. */
   enum Head {
     ID_OF_ANOTHER_REQUEST_AFTER(ID + OTHER_ID + SIGNATURE + LENGTH + "\r\n" + BODY),
@@ -69,11 +74,14 @@
     }
 
     String bytes(String id) {
-      return "HTTP/1.1 200 OK\r\n"
-          + rest.formatted(
-              id,
-              SigningInstance.signature(id, FIRST_SUCCESS, BODY_BYTES),
-              SigningInstance.responseBody(id, FIRST_SUCCESS, BODY_BYTES));
+      return "HTTP/1.1 200 OK\r\n" + format(rest, id);
+    }
+
+    private static String format(String rest, String id) {
+      return rest.formatted(
+          id,
+          SigningInstance.signature(id, FIRST_SUCCESS, BODY_BYTES),
+          SigningInstance.responseBody(id, FIRST_SUCCESS, BODY_BYTES));
     }
   }
 
@@ -96,7 +104,41 @@
 
   private void respond(SigningInstance.Request request, OutputStream output) throws IOException {
     request.readBody();
-    RawInstance.write(output, head.bytes(request.id()));
+    String rest = ID + SIGNATURE + LENGTH + "\r\n" + BODY;
+    RawInstance.write(
+        output,
+        invalidStatus.isEmpty()
+            ? head.bytes(request.id())
+            : "HTTP/1.1 " + invalidStatus + " Odd\r\n" + Head.format(rest, request.id()));
+  }
+
+  /**
+   * A status that HTTP/1.1 does not define is no answer. A caller got one of 600 and 999 unchanged.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "POST, 000",
+    "POST, 042",
+    "POST, 099",
+    "POST, 600",
+    "POST, 999",
+    "POST, 0200",
+    "POST, 2000",
+    "GET, 000",
+    "GET, 600",
+    "GET, 999"
+  })
+  void invalidStatusReachesNoCaller(String method, String status) throws Exception {
+    invalidStatus = status;
+    try (CheckedCaller caller = new CheckedCaller(fleet.vm(0).callerPort())) {
+      String target = method.equals("POST") ? "/faulty-bookings/1" : "/faulty/1";
+      String id = caller.send(method, target, DEADLINE_MILLIS, method.equals("POST") ? 20 : 0);
+      String received = caller.receive(id).toString();
+      assertEquals(List.of(), caller.faults(), received);
+      assertEquals(List.of(BAD_GATEWAY), caller.statuses(), received);
+    } finally {
+      invalidStatus = "";
+    }
   }
 
   @ParameterizedTest
