Count reports in the order in which the tokens come in

Cause: the change of the limit coordinator took a report's requests off before the refill up to the burst, so a part of the refill came on top of the burst, and a workspace without a limit collected a debt or an infinite sum. Change: refill first, as before, and no tokens while there is no limit. Result: FleetDemandLimiterTest and RateBoundTest pass (one run).

--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/FleetDemandLimiter.java
@@ -280,7 +280,10 @@
       bucketFor(demand, report.generation())
           .ifPresent(
               bucket -> {
-                bucket.recordReport(demand.arrived(), demand.admitted());
+                bucket.recordReport(
+                    demand.arrived(),
+                    demand.admitted(),
+                    slack.extend(bucket.fleetLimit(), fraction));
                 shares.add(computeShare(demand.workspace(), bucket, fraction));
               });
     }
--- a/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/FleetTokenBucket.java
+++ b/kumquatvane-limits/src/main/java/org/kumquatvane/limits/internal/FleetTokenBucket.java
@@ -84,17 +84,22 @@
    *
    * @param arrived requests that arrived at a VM since its last report
    * @param admitted requests that it admitted
+   * @param limit rate and burst that the reporting VMs may use together
    */
-  public void recordReport(long arrived, long admitted) {
-    reportedNanos = clock.monotonicNanos();
-    tokens -= admitted;
+  public void recordReport(long arrived, long admitted, RateLimit limit) {
+    advance(limit);
+    reportedNanos = updatedNanos;
+    tokens -= limit.isUnlimited() ? 0 : admitted;
     recentArrivals += arrived;
   }
 
   private void advance(RateLimit limit) {
     long now = clock.monotonicNanos();
     double seconds = Math.max(0, now - updatedNanos) / NANOS_PER_SECOND;
-    tokens = Math.min(limit.burstRequests(), tokens + seconds * limit.requestsPerSecond());
+    if (!limit.isUnlimited()) {
+      // Tokens of a workspace without a limit could not be counted once it gets one.
+      tokens = Math.min(limit.burstRequests(), tokens + seconds * limit.requestsPerSecond());
+    }
     recentArrivals *= Math.exp(-seconds / AVERAGING_SECONDS);
     updatedNanos = now;
   }
