Answer uploads whose attempt ends before their body does

Cause: the end of the attempt cancelled the reading of the caller's body, and ServiceTalk closes the connection of a caller whose body is not read to its end, so that the 504 was never written.

--- a/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyReader.java
+++ b/kumquatvane-http/src/main/java/org/kumquatvane/http/internal/BodyReader.java
@@ -123,6 +123,7 @@
     Publisher<Buffer> counted =
         request
             .payloadBody()
+            .liftSync(new DrainAfterCancel())
             .beforeOnNext(
                 chunk -> {
                   if (received.addAndGet(chunk.readableBytes()) > maximumBytes) {
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/EarlyAnswerProcessTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/platform/EarlyAnswerProcessTest.java
@@ -28,6 +28,7 @@
   private static final int RESPONSE_BYTES = 900;
   private static final int LEAVE_AFTER_MILLIS = 300;
   private static final int ROUNDS = 3;
+  private static final int GATEWAY_TIMEOUT = 504;
 
   private PlatformFleet fleet;
   private SigningInstance instance;
@@ -53,6 +54,9 @@
   /** Answers at once; reads the body after the wait, or ends the connection instead. */
   private static void respond(SigningInstance.Request request, OutputStream output)
       throws IOException, InterruptedException {
+    if (request.parameter("reads") == 1) {
+      request.readBody();
+    }
     int status = request.parameter("status");
     if (status != 503) {
       request.countRun();
@@ -116,6 +120,27 @@
     assertTrue(fleet.vm(0).process().isAlive(), fleet.vm(0)::log);
   }
 
+  /**
+   * A body that is still on its way when the time of its request ends gets a response. The end of
+   * the attempt closed the connection of the caller instead.
+   */
+  @ParameterizedTest
+  @CsvSource({"300000, 1000", "600000, 200000", "2000000, 100"})
+  void uploadPastTheDeadlineIsAnswered(int bodyLength, int missingLength) throws Exception {
+    try (CheckedCaller caller = new CheckedCaller(fleet.vm(0).callerPort())) {
+      String id =
+          caller.sendWithoutEnd(
+              "POST",
+              "/faulty-bookings/1?status=200&reads=1",
+              DEADLINE_MILLIS,
+              bodyLength,
+              missingLength);
+      assertEquals(GATEWAY_TIMEOUT, caller.receive(id).status());
+      assertEquals(List.of(), caller.faults());
+      assertEquals(0, instance.countRuns(id));
+    }
+  }
+
   /**
    * The caller of an early answer breaks its body off, or stops sending: the connection to the
    * instance must not carry another request where the rest of the body is due.
