Move the events of the source contact into a class of their own

Cause: ItemFeed has over 400 lines, and counters and log lines made a tenth of it. Change: SourceEvents records them; nothing else moves.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeed.java
@@ -10,7 +10,6 @@
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.EventLog;
 import org.kumquatvane.core.LockRank;
-import org.kumquatvane.core.LogField;
 import org.kumquatvane.core.OrderedEffects;
 import org.kumquatvane.core.PeerDispatcher;
 import org.kumquatvane.core.PeerSender;
@@ -22,6 +21,7 @@
 import org.kumquatvane.distribution.internal.ItemExchange;
 import org.kumquatvane.distribution.internal.ItemTable;
 import org.kumquatvane.distribution.internal.SourceContact;
+import org.kumquatvane.distribution.internal.SourceEvents;
 
 /**
  * Keeps this VM's copy of the source's items up to date with few calls to the source.
@@ -48,7 +48,7 @@
   private final Clock clock;
   private final Scheduler scheduler;
   private final Counters counters;
-  private final EventLog eventLog;
+  private final SourceEvents events;
   private final OrderedEffects effects = new OrderedEffects();
   private final ItemTable table;
   private final CallSchedule calls;
@@ -95,7 +95,7 @@
     this.clock = clock;
     this.scheduler = scheduler;
     this.counters = counters;
-    this.eventLog = eventLog;
+    events = new SourceEvents(counters, eventLog);
     table = new ItemTable(settings.maximumItemBytes(), rules::isEssential);
     calls = new CallSchedule(clock, counters);
     contact = new SourceContact(settings.staleAfter(), settings.recoveryWindow(), clock);
@@ -239,19 +239,12 @@
       return;
     }
     if (response instanceof SourceResponse.HistoryLost) {
-      counters.add("source.history_lost", 1);
-      eventLog.record(
-          EventLog.Level.INFO, "source_history_lost", LogField.of("revision", revision()));
+      events.historyLost(revision());
       requireFullRead();
       return;
     }
     if (response instanceof SourceResponse.Unreadable unreadable) {
-      counters.add("source.unreadable_changes", 1);
-      eventLog.record(
-          EventLog.Level.WARNING,
-          "source_changes_unreadable",
-          LogField.of("detail", unreadable.detail()),
-          LogField.of("revision", revision()));
+      events.changesUnreadable(unreadable.detail(), revision());
       requireFullRead();
       return;
     }
@@ -329,7 +322,6 @@
   }
 
   private void onFailure(SourceResponse.Unavailable failure) {
-    counters.add("source.failures", 1);
     boolean[] sendInquiry = new boolean[1];
     SourceContact.FailureChange change =
         lock.call(
@@ -346,18 +338,7 @@
               }
               return result;
             });
-    if (change == SourceContact.FailureChange.NEWLY_LOST) {
-      eventLog.record(
-          EventLog.Level.WARNING,
-          "source_lost",
-          LogField.of("detail", failure.detail()),
-          LogField.of("revision", revision()),
-          LogField.of("age_ms", ageMillis()));
-    } else if (change == SourceContact.FailureChange.OTHER_FAILURE) {
-      // Tells a source that refuses calls from calls that do not leave this VM.
-      eventLog.record(
-          EventLog.Level.INFO, "source_failure_changed", LogField.of("detail", failure.detail()));
-    }
+    events.failed(change, failure.detail(), revision(), ageMillis());
     if (sendInquiry[0]) {
       exchange.sendInquiryToAnyPeer();
     }
@@ -368,21 +349,11 @@
     long leftOut = table.itemsLeftOut() - reportedLeftOut;
     if (leftOut > 0) {
       reportedLeftOut += leftOut;
-      counters.add("source.items_left_out", leftOut);
-      effects.add(
-          () ->
-              eventLog.record(
-                  EventLog.Level.WARNING,
-                  "source_items_left_out",
-                  LogField.of("items", leftOut),
-                  LogField.of("maximum_bytes", settings.maximumItemBytes())));
+      effects.add(() -> events.itemsLeftOut(leftOut, settings.maximumItemBytes()));
     }
     if (contact.confirm()) {
       long known = table.revision();
-      effects.add(
-          () ->
-              eventLog.record(
-                  EventLog.Level.INFO, "source_regained", LogField.of("revision", known)));
+      effects.add(() -> events.regained(known));
     }
   }
 
