--- a/review/standins-3/Client.java
+++ b/review/standins-3/Client.java
@@ -36,10 +36,6 @@
     return String.format("%016x", IDS.incrementAndGet() * 0x9E3779B97F4A7C15L);
   }
 
-  Socket socket() {
-    return socket;
-  }
-
   static String head(
       String method, String path, String id, long deadlineMillis, String key, String more) {
     return method + " " + path + " HTTP/1.1\r\nHost: rota.example\r\nX-Request-Id: " + id
--- a/review/standins-3/Instance.java
+++ b/review/standins-3/Instance.java
@@ -3,7 +3,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -30,10 +29,9 @@
   private final int port;
   private final long born = System.currentTimeMillis();
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-  private final List<Socket> fillers = new CopyOnWriteArrayList<>();
   volatile Behaviour behaviour = Instance::success;
   volatile long workMillis = 20;
-  private volatile ServerSocket server;
+  private final ServerSocket server;
   private long sequence;
 
   Instance(RunRecord record, String id, String service) throws IOException {
@@ -42,11 +40,7 @@
     this.service = service;
     server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     port = server.getLocalPort();
-    listen(server);
-  }
-
-  int port() {
-    return port;
+    listen();
   }
 
   String key() {
@@ -60,12 +54,12 @@
         + "\",\"warmupLeftS\":0,\"sequence\":" + sequence + ",\"born\":" + born + "}";
   }
 
-  private void listen(ServerSocket listening) {
+  private void listen() {
     Store.daemon(
         () -> {
-          while (!listening.isClosed()) {
+          while (!server.isClosed()) {
             try {
-              Socket socket = listening.accept();
+              Socket socket = server.accept();
               open.add(socket);
               Store.daemon(() -> serve(socket));
             } catch (IOException e) {
@@ -157,59 +151,6 @@
     return true;
   }
 
-  /**
-   * Goes dark: resets its connections and answers no attempt to open one. A full queue of new
-   * connections makes the system drop the opening packets.
-   */
-  void goDark() throws IOException {
-    server.close();
-    for (Socket socket : open) {
-      socket.setSoLinger(true, 0);
-      socket.close();
-    }
-    server = bind(1);
-    for (int i = 0; i < 2; i++) {
-      Socket filler = new Socket();
-      filler.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 500);
-      fillers.add(filler);
-    }
-    record.line("instance " + id + ": dark");
-  }
-
-  /** Listens again; the socket closed before may take a moment to let the port go. */
-  private ServerSocket bind(int backlog) throws IOException {
-    for (int attempt = 0; ; attempt++) {
-      ServerSocket socket = new ServerSocket();
-      socket.setReuseAddress(true);
-      try {
-        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
-        return socket;
-      } catch (IOException inUse) {
-        socket.close();
-        if (attempt == 40) {
-          throw inUse;
-        }
-        try {
-          Thread.sleep(25);
-        } catch (InterruptedException e) {
-          throw new IOException(e);
-        }
-      }
-    }
-  }
-
-  /** Serves again at the same address. */
-  void comeBack() throws IOException {
-    server.close();
-    for (Socket filler : fillers) {
-      filler.close();
-    }
-    fillers.clear();
-    server = bind(200);
-    listen(server);
-    record.line("instance " + id + ": back");
-  }
-
   @Override
   public void close() throws IOException {
     server.close();
--- a/review/standins-3/KeptBodies.java
+++ b/review/standins-3/KeptBodies.java
@@ -59,9 +59,9 @@
         Vm first = new Vm(directory, record, "front-1");
         Vm second = new Vm(directory, record, "front-2")) {
       store.put("op/config", Config.of(1, List.of("key")));
-      for (int i = 0; i < 12; i++) {
+      for (int i = 0; i < 24; i++) {
         Instance instance = new Instance(record, "i-rota" + i, "rota");
-        instance.workMillis = 120;
+        instance.workMillis = 300;
         instances.add(instance);
         store.put(instance.key(), instance.entry("ready"));
       }
--- a/review/standins-3/Vm.java
+++ b/review/standins-3/Vm.java
@@ -6,7 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -46,6 +45,8 @@
             .redirectErrorStream(true)
             .redirectOutput(log.toFile())
             .start();
+    // A run that is broken off leaves no process behind.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     record.line("vm " + name + ": started, callers at port " + callerPort);
   }
 
@@ -111,15 +112,6 @@
     return process.exitValue();
   }
 
-  void signal(String signal) throws IOException, InterruptedException {
-    record.line("vm " + name + ": SIG" + signal);
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-  }
-
-  boolean awaitExit(long timeoutMillis) throws InterruptedException {
-    return process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS);
-  }
-
   /** Finds a free port below the range from which outgoing connections take theirs. */
   private static synchronized int freePort() {
     while (true) {
@@ -148,8 +140,4 @@
       }
     }
   }
-
-  static List<Vm> list(Vm... vms) {
-    return new ArrayList<>(List.of(vms));
-  }
 }
