Follow the store after its return from an older copy

VMs log source_history_lost with the same revision every 600 ms.

Cause: a revision, which the store gives out again, was taken for the order of events. The watch asked from a revision that the store does not have, and the read of all items that followed was dropped as older.

Change: a position is an era and a revision (SourcePosition). Readers read once for a new era and report all items. EraRetention keeps items that are newer than those of the copy by the order that their writer gives them: the configuration until the same or a higher version is written, the state of instances for 6 s at most. A VM that starts asks the others for what they keep. ItemFeed is split: SourceCaller makes the calls, ItemUpdater applies responses and reports, ItemPublisher decides what is used. Event and counter for a change of the era, gauges, /v1/source.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeedSettings.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemFeedSettings.java
@@ -16,6 +16,8 @@
  * @param retryDelay delay after a failed call
  * @param recoveryWindow time after recovery of the source during which expired entries may be
  *     restored
+ * @param retentionTime time after the source's return from a copy for which newer items from before
+ *     are kept; entries of instances that have ended expire at the source within three heartbeats
  * @param maximumItemBytes size of all items beyond which further ones are left out, in bytes
  */
 public record ItemFeedSettings(
@@ -26,6 +28,7 @@
     Duration changePause,
     Duration retryDelay,
     Duration recoveryWindow,
+    Duration retentionTime,
     int maximumItemBytes) {
   /** Entries of instances take about 0.5 KB each, a configuration up to 1 MB. */
   private static final int MAXIMUM_ITEM_BYTES = 6 << 20;
@@ -43,5 +46,6 @@
           Duration.ofMillis(200),
           Duration.ofMillis(300),
           Duration.ofSeconds(2),
+          Duration.ofSeconds(6),
           MAXIMUM_ITEM_BYTES);
 }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemListener.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemListener.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Receives item changes in revision order. Called without any lock. */
+/** Receives item changes in the order of their positions. Called without any lock. */
 @FunctionalInterface
 public interface ItemListener {
   /**
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemRules.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemRules.java
@@ -19,6 +19,11 @@
         public boolean isEssential(String key) {
           return false;
         }
+
+        @Override
+        public Optional<WriterOrder> writerOrder(String key, byte[] value) {
+          return Optional.empty();
+        }
       };
 
   /**
@@ -31,10 +36,20 @@
   Optional<byte[]> reduce(String key, byte[] value);
 
   /**
-   * Returns whether the item is kept even if there is no room for further ones.
+   * Returns whether the item is kept even if there is no room for further ones, and is never
+   * replaced by a value that its writer wrote earlier.
    *
    * @param key key of the item
    * @return whether it is essential
    */
   boolean isEssential(String key);
+
+  /**
+   * Returns the place of a value among those of its writer.
+   *
+   * @param key key of the item
+   * @param value the reduced value
+   * @return the place, or empty if the value does not tell it
+   */
+  Optional<WriterOrder> writerOrder(String key, byte[] value);
 }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemSource.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemSource.java
@@ -25,9 +25,9 @@
   /**
    * Waits for changes.
    *
-   * @param afterRevision revision after which changes are returned
+   * @param after position after which changes are returned
    * @param maximumWait time after which the source responds without a change
    * @param onResponse receives exactly one response
    */
-  void watch(long afterRevision, Duration maximumWait, Consumer<SourceResponse> onResponse);
+  void watch(SourcePosition after, Duration maximumWait, Consumer<SourceResponse> onResponse);
 }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemsInquiry.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/ItemsInquiry.java
@@ -3,8 +3,9 @@
 import org.kumquatvane.core.PeerMessage;
 
 /**
- * Requests all items of another VM.
+ * Requests all items of another VM if it has newer ones, or keeps some from before the source
+ * returned from a copy.
  *
- * @param knownRevision revision up to which the sender's items are complete
+ * @param known position up to which the sender's items are complete
  */
-public record ItemsInquiry(long knownRevision) implements PeerMessage {}
+public record ItemsInquiry(SourcePosition known) implements PeerMessage {}
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/SourceResponse.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/SourceResponse.java
@@ -2,15 +2,18 @@
 
 import java.util.List;
 
-/** Response of the configuration source. */
+/**
+ * Response of the configuration source. Its positions have {@link SourcePosition#UNKNOWN_ERA} if
+ * the source does not tell its era.
+ */
 public sealed interface SourceResponse {
   /**
    * All items.
    *
    * @param items the items
-   * @param revision revision after which to watch for changes
+   * @param position position after which to watch for changes
    */
-  record Snapshot(List<SourceItem> items, long revision) implements SourceResponse {}
+  record Snapshot(List<SourceItem> items, SourcePosition position) implements SourceResponse {}
 
   /**
    * Some of the items of a read that is still in progress.
@@ -20,15 +23,19 @@
   record PartialSnapshot(List<SourceItem> items) implements SourceResponse {}
 
   /**
-   * Changes since the requested revision.
+   * Changes since the requested position.
    *
    * @param items changed and removed items; empty if the wait ended without a change
-   * @param revision revision up to which the changes are complete
+   * @param position position up to which the changes are complete
    */
-  record Changes(List<SourceItem> items, long revision) implements SourceResponse {}
+  record Changes(List<SourceItem> items, SourcePosition position) implements SourceResponse {}
 
-  /** The source no longer holds the requested changes; all items must be read again. */
-  record HistoryLost() implements SourceResponse {}
+  /**
+   * The source does not hold the requested changes; all items must be read again.
+   *
+   * @param era era of the source, or {@link SourcePosition#UNKNOWN_ERA}
+   */
+  record HistoryLost(long era) implements SourceResponse {}
 
   /**
    * The source sent changes that cannot be decoded. The same request would fail again, so all items
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/CallSchedule.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/CallSchedule.java
@@ -103,6 +103,11 @@
     fullReadDue = true;
   }
 
+  /** Cancels the read of all items, because another VM has reported them. */
+  public void onItemsReported() {
+    fullReadDue = false;
+  }
+
   /**
    * Makes no call for some time.
    *
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemExchange.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemExchange.java
@@ -15,7 +15,9 @@
 import org.kumquatvane.distribution.ItemRules;
 import org.kumquatvane.distribution.ItemsInquiry;
 import org.kumquatvane.distribution.ItemsReport;
+import org.kumquatvane.distribution.RetainedItems;
 import org.kumquatvane.distribution.SourceItem;
+import org.kumquatvane.distribution.SourcePosition;
 
 /**
  * Exchanges items with the other VMs of the failure domain. Reports are split into parts of bounded
@@ -24,6 +26,7 @@
 public final class ItemExchange {
   private final RankedLock lock;
   private final ItemTable table;
+  private final RetentionPeriod retention;
   private final Receiver receiver;
   private final ItemRules rules;
   private final InquiryTimes inquiries;
@@ -48,6 +51,7 @@
    *
    * @param lock lock of the feed
    * @param table items of this VM
+   * @param retention until when items of an earlier era are kept
    * @param receiver applies reports
    * @param rules what is kept of received items
    * @param inquiries times of inquiries and of their answers
@@ -60,6 +64,7 @@
   public ItemExchange(
       RankedLock lock,
       ItemTable table,
+      RetentionPeriod retention,
       Receiver receiver,
       ItemRules rules,
       InquiryTimes inquiries,
@@ -70,6 +75,7 @@
       Counters counters) {
     this.lock = lock;
     this.table = table;
+    this.retention = retention;
     this.receiver = receiver;
     this.rules = rules;
     this.inquiries = inquiries;
@@ -81,14 +87,41 @@
   }
 
   /**
-   * Splits a report of changes. Called under the lock of the feed.
+   * Splits what to report after a response. Called under the lock of the feed.
    *
-   * @param fromRevision revision after which the list contains all changes
-   * @param items changed and removed items
-   * @return the parts; none if the report is too large to send
+   * @param report the report
+   * @return the parts; none if there is nothing to report or it is too large to send
    */
-  public List<ItemsReport> split(long fromRevision, List<SourceItem> items) {
-    return countLeftOut(ReportParts.split(false, fromRevision, table.revision(), items));
+  public List<ItemsReport> split(ItemUpdater.Report report) {
+    if (report instanceof ItemUpdater.Report.AllItems) {
+      return splitAll();
+    }
+    if (report instanceof ItemUpdater.Report.Changes changes) {
+      return countLeftOut(
+          ReportParts.split(
+              new ItemsReport(
+                  false,
+                  changes.from(),
+                  table.position(),
+                  0,
+                  1,
+                  changes.items(),
+                  RetainedItems.NONE)));
+    }
+    return List.of();
+  }
+
+  private List<ItemsReport> splitAll() {
+    return countLeftOut(
+        ReportParts.split(
+            new ItemsReport(
+                true,
+                SourcePosition.NONE,
+                table.position(),
+                0,
+                1,
+                table.sourceItems(),
+                new RetainedItems(table.retainedItems(), retention.remainingMillis()))));
   }
 
   private List<ItemsReport> countLeftOut(List<ItemsReport> reports) {
@@ -117,21 +150,36 @@
     return inquiries.beginInquiry();
   }
 
-  /** Records that this VM's items are up to date. Called under the lock of the feed. */
-  public void onUpToDate() {
-    inquiries.onUpToDate();
-  }
-
   /** Requests all items of some VM of the failure domain, if there is one. */
   public void sendInquiryToAnyPeer() {
     List<VmId> known = peers.get();
     if (!known.isEmpty()) {
       sender.send(
           known.get(Math.floorMod((int) clock.monotonicNanos(), known.size())),
-          new ItemsInquiry(ItemTable.NO_REVISION));
+          new ItemsInquiry(SourcePosition.NONE));
     }
   }
 
+  /**
+   * Asks the next VM for items that it keeps from an earlier era, if this VM has items and there is
+   * a VM left to ask.
+   *
+   * @param startInquiries chooses the VM
+   */
+  public void sendStartInquiry(StartInquiries startInquiries) {
+    List<VmId> known = peers.get();
+    SourcePosition[] position = new SourcePosition[] {SourcePosition.NONE};
+    Optional<VmId> receiver =
+        lock.call(
+            () -> {
+              position[0] = table.position();
+              return position[0].isNone()
+                  ? Optional.empty()
+                  : startInquiries.next(known, clock.monotonicNanos());
+            });
+    receiver.ifPresent(vm -> sender.send(vm, new ItemsInquiry(position[0])));
+  }
+
   /**
    * Handles a part of a report.
    *
@@ -142,24 +190,27 @@
     ItemsReport reduced =
         new ItemsReport(
             part.complete(),
-            part.fromRevision(),
-            part.revision(),
+            part.from(),
+            part.position(),
             part.part(),
             part.parts(),
-            part.items().stream().map(this::reduce).toList());
-    long[] knownRevision = new long[1];
+            part.items().stream().map(this::reduce).toList(),
+            new RetainedItems(
+                part.retained().items().stream().map(this::reduce).toList(),
+                part.retained().remainingMillis()));
+    SourcePosition[] known = new SourcePosition[] {SourcePosition.NONE};
     boolean sendInquiry =
         lock.call(
             () -> {
               Optional<ItemsReport> report = parts.join(from, reduced);
               boolean hasGap = report.isPresent() && !receiver.apply().test(report.get());
-              knownRevision[0] = table.revision();
+              known[0] = table.position();
               return hasGap && inquiries.beginInquiry();
             });
     receiver.afterApply().run();
     if (sendInquiry) {
       counters.add("source.gaps", 1);
-      sender.send(from, new ItemsInquiry(knownRevision[0]));
+      sender.send(from, new ItemsInquiry(known[0]));
     }
   }
 
@@ -167,7 +218,7 @@
   private SourceItem reduce(SourceItem item) {
     return item.value().isEmpty()
         ? item
-        : new SourceItem(item.key(), rules.reduce(item.key(), item.value().get()), item.revision());
+        : new SourceItem(item.key(), rules.reduce(item.key(), item.value().get()), item.position());
   }
 
   /**
@@ -180,20 +231,23 @@
     Optional<Deadline> answerTime =
         lock.call(
             () ->
-                table.revision() > inquiry.knownRevision() && inquiries.add(from)
+                hasNewsFor(inquiry.known()) && inquiries.add(from)
                     ? Optional.of(inquiries.answerTime())
                     : Optional.empty());
     answerTime.ifPresent(time -> scheduler.schedule(time, this::answerInquiries));
   }
 
+  private boolean hasNewsFor(SourcePosition known) {
+    return table.position().isAfter(known) || !table.retainedItems().isEmpty();
+  }
+
   private void answerInquiries() {
     List<VmId> receivers = new ArrayList<>();
     List<ItemsReport> reports =
         lock.call(
             () -> {
               receivers.addAll(inquiries.takeWaiting());
-              return countLeftOut(
-                  ReportParts.split(true, 0, table.revision(), table.presentItems()));
+              return splitAll();
             });
     reports.forEach(report -> sender.sendToAll(receivers, report));
   }
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ReportParts.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ReportParts.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 import org.kumquatvane.core.VmId;
 import org.kumquatvane.distribution.ItemsReport;
+import org.kumquatvane.distribution.RetainedItems;
 import org.kumquatvane.distribution.SourceItem;
 
 /**
@@ -33,22 +34,19 @@
   private long receivedBytes;
 
   /**
-   * Splits a report.
+   * Splits a report. Items that are kept from an earlier era are in the last part, alone if they do
+   * not fit into it.
    *
-   * @param complete whether the list holds all items
-   * @param fromRevision revision after which the list contains all changes
-   * @param revision revision up to which the list contains all changes
-   * @param items changed and removed items
+   * @param report the whole report
    * @return the parts in the order in which to send them; none if the report is too large
    */
-  public static List<ItemsReport> split(
-      boolean complete, long fromRevision, long revision, List<SourceItem> items) {
+  public static List<ItemsReport> split(ItemsReport report) {
     List<List<SourceItem>> parts = new ArrayList<>();
     List<SourceItem> part = new ArrayList<>();
     parts.add(part);
     long partBytes = 0;
     long totalBytes = 0;
-    for (SourceItem item : items) {
+    for (SourceItem item : report.items()) {
       if (!part.isEmpty() && partBytes + item.sizeBytes() > PART_BYTES) {
         part = new ArrayList<>();
         parts.add(part);
@@ -58,9 +56,26 @@
       partBytes += item.sizeBytes();
       totalBytes += item.sizeBytes();
     }
+    RetainedItems retained = report.retained();
+    long retainedBytes = retained.items().stream().mapToLong(SourceItem::sizeBytes).sum();
+    if (totalBytes + retainedBytes > MAXIMUM_REPORT_BYTES) {
+      return List.of();
+    }
+    if (retainedBytes > 0 && partBytes + retainedBytes > PART_BYTES) {
+      parts.add(List.of());
+    }
     List<ItemsReport> reports = new ArrayList<>();
-    for (int i = 0; i < parts.size() && totalBytes <= MAXIMUM_REPORT_BYTES; i++) {
-      reports.add(new ItemsReport(complete, fromRevision, revision, i, parts.size(), parts.get(i)));
+    for (int i = 0; i < parts.size(); i++) {
+      boolean isLast = i == parts.size() - 1;
+      reports.add(
+          new ItemsReport(
+              report.complete(),
+              report.from(),
+              report.position(),
+              i,
+              parts.size(),
+              parts.get(i),
+              isLast ? retained : RetainedItems.NONE));
     }
     return reports;
   }
@@ -77,7 +92,7 @@
       return Optional.of(part);
     }
     if (!isSameReport(from, part)) {
-      if (received.values().stream().anyMatch(other -> other.revision() > part.revision())) {
+      if (received.values().stream().anyMatch(other -> other.position().isAfter(part.position()))) {
         return Optional.empty();
       }
       forget();
@@ -85,6 +100,7 @@
     }
     if (received.putIfAbsent(part.part(), part) == null) {
       receivedBytes += part.items().stream().mapToLong(SourceItem::sizeBytes).sum();
+      receivedBytes += part.retained().items().stream().mapToLong(SourceItem::sizeBytes).sum();
     }
     if (receivedBytes > MAXIMUM_REPORT_BYTES || received.size() > MAXIMUM_PARTS) {
       forget();
@@ -95,9 +111,15 @@
     }
     List<SourceItem> items =
         received.values().stream().flatMap(other -> other.items().stream()).toList();
+    RetainedItems retained =
+        received.values().stream()
+            .map(ItemsReport::retained)
+            .filter(kept -> !kept.items().isEmpty())
+            .findFirst()
+            .orElse(RetainedItems.NONE);
     forget();
     return Optional.of(
-        new ItemsReport(part.complete(), part.fromRevision(), part.revision(), 0, 1, items));
+        new ItemsReport(part.complete(), part.from(), part.position(), 0, 1, items, retained));
   }
 
   private boolean isSameReport(VmId from, ItemsReport part) {
@@ -108,8 +130,8 @@
                 other ->
                     other.parts() == part.parts()
                         && other.complete() == part.complete()
-                        && other.fromRevision() == part.fromRevision()
-                        && other.revision() == part.revision());
+                        && other.from().equals(part.from())
+                        && other.position().equals(part.position()));
   }
 
   private void forget() {
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/SourceContact.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/SourceContact.java
@@ -66,6 +66,11 @@
     return wasLost;
   }
 
+  /** Records that the source has returned from a copy, which lacks entries of live instances. */
+  public void onEraChange() {
+    recoveryWindowEnd = Deadline.after(clock, recoveryWindow);
+  }
+
   /** Records that this VM has received a whole response. */
   public void onResponse() {
     brokenResponses = 0;
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/ItemFeedTest.java
@@ -3,21 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
-import java.util.function.Consumer;
 import org.apache.commons.rng.simple.RandomSource;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -40,160 +34,13 @@
   private final SimulatedNetwork network =
       new SimulatedNetwork(clock, scheduler, RandomSource.XO_RO_SHI_RO_128_PP.create(5L));
   private final RecordingCounters counters = new RecordingCounters();
-  private final FakeSource source = new FakeSource();
+  private final SimulatedSource source = new SimulatedSource(clock, scheduler);
   private final List<VmId> names = new ArrayList<>();
   private final List<Replica> replicas = new ArrayList<>();
   private final Set<ItemsReport> completeReports =
       Collections.newSetFromMap(new IdentityHashMap<>());
   private long largestReport;
 
-  /** Source with a history that tests can drop, and connections that tests can break. */
-  private final class FakeSource {
-    private final Map<String, SourceItem> items = new TreeMap<>();
-    private final Map<VmId, Boolean> cutOff = new HashMap<>();
-    private long revision = 1;
-    private long oldestRevision;
-    private List<SourceItem> staleItems = List.of();
-    private long staleRevision;
-    private boolean sendsPartialSnapshot;
-    private int readsFailingAfterFirstPage;
-    private boolean sendsUnreadableChanges;
-    private boolean neverResponds;
-    private boolean throwsException;
-    private int reads;
-
-    void put(String key, String value) {
-      items.put(key, new SourceItem(key, Optional.of(bytes(value)), ++revision));
-    }
-
-    void remove(String key) {
-      items.put(key, new SourceItem(key, Optional.empty(), ++revision));
-    }
-
-    ItemSource of(VmId vm) {
-      return new ItemSource() {
-        @Override
-        public void readAll(Freshness freshness, Consumer<SourceResponse> onResponse) {
-          reads++;
-          if (failsToRespond()) {
-            return;
-          }
-          boolean mayLag = freshness == Freshness.MAY_LAG && staleRevision > 0;
-          SourceResponse response =
-              mayLag ? new SourceResponse.Snapshot(staleItems, staleRevision) : snapshot();
-          if (sendsPartialSnapshot) {
-            later(vm, Duration.ofMillis(4), () -> onResponse.accept(partialSnapshot()), onResponse);
-          }
-          if (readsFailingAfterFirstPage > 0) {
-            readsFailingAfterFirstPage--;
-            response = new SourceResponse.Unavailable("reset between two pages");
-          }
-          SourceResponse last = response;
-          Duration delay = sendsPartialSnapshot ? Duration.ofSeconds(1) : Duration.ofMillis(4);
-          later(vm, delay, () -> onResponse.accept(last), onResponse);
-        }
-
-        @Override
-        public void watch(long after, Duration wait, Consumer<SourceResponse> onResponse) {
-          if (failsToRespond()) {
-            return;
-          }
-          poll(vm, after, Deadline.after(clock, wait), onResponse);
-        }
-      };
-    }
-
-    private boolean failsToRespond() {
-      if (throwsException) {
-        throw new IllegalStateException("defect of the client");
-      }
-      return neverResponds;
-    }
-
-    private void poll(VmId vm, long after, Deadline end, Consumer<SourceResponse> onResponse) {
-      later(
-          vm,
-          Duration.ofMillis(5),
-          () -> {
-            if (sendsUnreadableChanges && revision > after) {
-              onResponse.accept(new SourceResponse.Unreadable("malformed"));
-            } else if (after < oldestRevision) {
-              onResponse.accept(new SourceResponse.HistoryLost());
-            } else if (revision > after || end.isReached(clock)) {
-              onResponse.accept(
-                  new SourceResponse.Changes(
-                      items.values().stream().filter(item -> item.revision() > after).toList(),
-                      revision));
-            } else {
-              poll(vm, after, end, onResponse);
-            }
-          },
-          onResponse);
-    }
-
-    /** Excludes all later changes from reads that may lag. */
-    void freezeCheapReads() {
-      staleItems = items.values().stream().filter(item -> item.value().isPresent()).toList();
-      staleRevision = revision;
-    }
-
-    private SourceResponse partialSnapshot() {
-      return new SourceResponse.PartialSnapshot(
-          items.values().stream().filter(item -> item.value().isPresent()).limit(1).toList());
-    }
-
-    private SourceResponse snapshot() {
-      return new SourceResponse.Snapshot(
-          items.values().stream().filter(item -> item.value().isPresent()).toList(), revision);
-    }
-
-    private void later(
-        VmId vm, Duration delay, Runnable action, Consumer<SourceResponse> onFailure) {
-      if (cutOff.getOrDefault(vm, false)) {
-        scheduler.schedule(
-            Deadline.after(clock, Duration.ofMillis(700)),
-            () -> onFailure.accept(new SourceResponse.Unavailable("timeout")));
-      } else {
-        scheduler.schedule(Deadline.after(clock, delay), action);
-      }
-    }
-  }
-
-  /** Items that one VM has applied. */
-  private static final class Replica {
-    private final Map<String, String> values = new TreeMap<>();
-    private final Map<String, Long> revisions = new HashMap<>();
-    private final Set<String> usedValues = new TreeSet<>();
-    private int regressions;
-    private boolean sawRecovery;
-    private @Nullable Throwable failure;
-
-    private void apply(List<SourceItem> changed, boolean sourceRecovered) {
-      sawRecovery |= sourceRecovered;
-      if (failure instanceof RuntimeException exception) {
-        throw exception;
-      }
-      if (failure instanceof Error error) {
-        throw error;
-      }
-      for (SourceItem item : changed) {
-        Long before = revisions.put(item.key(), item.revision());
-        regressions += before != null && before > item.revision() ? 1 : 0;
-        if (item.value().isPresent()) {
-          String value = new String(item.value().get(), StandardCharsets.UTF_8);
-          values.put(item.key(), value);
-          usedValues.add(value);
-        } else {
-          values.remove(item.key());
-        }
-      }
-    }
-  }
-
-  private static byte[] bytes(String text) {
-    return text.getBytes(StandardCharsets.UTF_8);
-  }
-
   private void start(int vms) {
     source.put("config", "1");
     startWithoutWaiting(vms);
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/internal/ItemTablePropertyTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/internal/ItemTablePropertyTest.java
@@ -12,7 +12,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.kumquatvane.distribution.ItemRules;
 import org.kumquatvane.distribution.SourceItem;
+import org.kumquatvane.distribution.SourcePosition;
 
 /**
  * Guards against a report to other VMs that lacks a change although it claims to be complete,
@@ -24,14 +26,14 @@
 
   private final Map<String, SourceItem> source = new TreeMap<>();
   private long sourceRevision;
-  private final ItemTable reader = new ItemTable(Integer.MAX_VALUE, key -> false);
-  private final ItemTable other = new ItemTable(Integer.MAX_VALUE, key -> false);
+  private final ItemTable reader = new ItemTable(Integer.MAX_VALUE, ItemRules.KEEP_ALL);
+  private final ItemTable other = new ItemTable(Integer.MAX_VALUE, ItemRules.KEEP_ALL);
 
   @Property(tries = 500, seed = "30")
   void otherVmsKnowAllChangesUpToReportedRevision(
       @ForAll @Size(max = 40) List<@IntRange(min = 0, max = 99) Integer> steps) {
     change(0);
-    deliver(reader.revision(), reader.applySnapshot(present(source), sourceRevision));
+    deliver(reader.position(), reader.applySnapshot(present(source), at(sourceRevision)));
     for (int step : steps) {
       int detail = step / 5;
       switch (step % 5) {
@@ -46,22 +48,26 @@
     assertEquals(values(source.values()), values(other.presentItems()));
   }
 
+  private static SourcePosition at(long revision) {
+    return new SourcePosition(1, revision);
+  }
+
   private void change(int detail) {
     String key = "key-" + detail % KEYS;
     Optional<byte[]> value = detail < 2 * KEYS ? Optional.of(new byte[0]) : Optional.empty();
-    source.put(key, new SourceItem(key, value, ++sourceRevision));
+    source.put(key, new SourceItem(key, value, at(++sourceRevision)));
   }
 
   private void watch() {
-    long from = reader.revision();
+    SourcePosition from = reader.position();
     List<SourceItem> changes =
-        source.values().stream().filter(item -> item.revision() > from).toList();
-    deliver(from, reader.applyChanges(changes, sourceRevision));
+        source.values().stream().filter(item -> item.position().isAfter(from)).toList();
+    deliver(from, reader.applyChanges(changes, at(sourceRevision)));
   }
 
   /** Reads page by page while items change; a failing read ends before its last page. */
   private void readInPages(int detail, boolean fails) {
-    long at = sourceRevision;
+    SourcePosition at = at(sourceRevision);
     List<SourceItem> read = new ArrayList<>();
     for (int page = 0; page < KEYS / PAGE_KEYS; page++) {
       int first = page * PAGE_KEYS;
@@ -75,28 +81,30 @@
         reader.applyPartialSnapshot(items);
         change(detail + page);
       } else if (!fails) {
-        long from = reader.revision();
+        SourcePosition from = reader.position();
         deliver(from, reader.applySnapshot(read, at));
       }
     }
   }
 
-  private void deliver(long from, ItemTable.Update update) {
-    if (from > other.revision()) {
+  private void deliver(SourcePosition from, ItemTable.Update update) {
+    if (from.isAfter(other.position())) {
       throw new IllegalStateException("a report was left out");
     }
-    other.applyChanges(update.sinceRevision(), reader.revision());
+    other.applyChanges(update.sincePosition(), reader.position());
   }
 
   private static List<SourceItem> present(Map<String, SourceItem> items) {
     return items.values().stream().filter(item -> item.value().isPresent()).toList();
   }
 
-  private static Map<String, Long> values(Iterable<SourceItem> items) {
+  private static Map<String, SourcePosition> values(Iterable<SourceItem> items) {
     List<SourceItem> list = new ArrayList<>();
     items.forEach(list::add);
     return list.stream()
         .filter(item -> item.value().isPresent())
-        .collect(Collectors.toMap(SourceItem::key, SourceItem::revision, Math::max, TreeMap::new));
+        .collect(
+            Collectors.toMap(
+                SourceItem::key, SourceItem::position, SourcePosition::newest, TreeMap::new));
   }
 }
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/internal/ItemTableSizeTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/internal/ItemTableSizeTest.java
@@ -10,22 +10,28 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.kumquatvane.distribution.SourceItem;
+import org.kumquatvane.distribution.SourcePosition;
 
 /** Guards against a table whose size is decided by those who write, grow and remove items. */
 class ItemTableSizeTest {
   private static final int MAXIMUM_BYTES = 1 << 20;
   private static final String ESSENTIAL = "op/config";
 
-  private final ItemTable table = new ItemTable(MAXIMUM_BYTES, ESSENTIAL::equals);
+  private final ItemTable table = new ItemTable(MAXIMUM_BYTES, new KeyRules(ESSENTIAL));
   private long revision;
 
+  private static SourcePosition at(long revision) {
+    return new SourcePosition(1, revision);
+  }
+
   private void put(String key, int valueBytes) {
-    SourceItem item = new SourceItem(key, Optional.of(new byte[valueBytes]), ++revision);
-    table.applyChanges(List.of(item), revision);
+    SourceItem item = new SourceItem(key, Optional.of(new byte[valueBytes]), at(++revision));
+    table.applyChanges(List.of(item), at(revision));
   }
 
   private void remove(String key) {
-    table.applyChanges(List.of(new SourceItem(key, Optional.empty(), ++revision)), revision);
+    table.applyChanges(
+        List.of(new SourceItem(key, Optional.empty(), at(++revision))), at(revision));
   }
 
   private long presentBytes() {
@@ -73,7 +79,8 @@
     assertTrue(table.removedItems() <= ItemTable.MAXIMUM_REMOVED_ITEMS);
     for (long old = 1; old < revision; old += 2) {
       String key = "servers/i-" + old / 2;
-      table.applyChanges(List.of(new SourceItem(key, Optional.of(new byte[10]), old)), revision);
+      table.applyChanges(
+          List.of(new SourceItem(key, Optional.of(new byte[10]), at(old))), at(revision));
     }
     assertEquals(List.of(), table.presentItems());
   }
--- a/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
+++ b/kumquatvane-peering/src/test/java/org/kumquatvane/peering/codec/SampleMessages.java
@@ -20,7 +20,9 @@
 import org.kumquatvane.distribution.ItemsInquiry;
 import org.kumquatvane.distribution.ItemsReport;
 import org.kumquatvane.distribution.KeyWithdrawal;
+import org.kumquatvane.distribution.RetainedItems;
 import org.kumquatvane.distribution.SourceItem;
+import org.kumquatvane.distribution.SourcePosition;
 import org.kumquatvane.distribution.VmListReport;
 import org.kumquatvane.document.RateLimit;
 import org.kumquatvane.ejection.AttemptOutcome;
@@ -111,14 +113,16 @@
         new VmListReport(new VmList(8, List.of(entry), List.of(backend))),
         new ItemsReport(
             true,
-            0,
-            9,
+            SourcePosition.NONE,
+            new SourcePosition(2, 9),
             1,
             3,
             List.of(
-                new SourceItem("a", Optional.of(new byte[] {1, -1}), 8),
-                new SourceItem("b", Optional.empty(), 9))),
-        new ItemsInquiry(-1));
+                new SourceItem("a", Optional.of(new byte[] {1, -1}), new SourcePosition(2, 8)),
+                new SourceItem("b", Optional.empty(), new SourcePosition(2, 9))),
+            new RetainedItems(
+                List.of(new SourceItem("c", Optional.empty(), new SourcePosition(2, 7))), 1_500)),
+        new ItemsInquiry(new SourcePosition(1, 4)));
   }
 
   private static List<PeerMessage> limits() {
--- a/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
+++ b/kumquatvane-server/src/main/java/org/kumquatvane/server/EntryServer.java
@@ -1,5 +1,6 @@
 package org.kumquatvane.server;
 
+import com.codahale.metrics.MetricRegistry;
 import io.servicetalk.transport.api.IoExecutor;
 import java.io.IOException;
 import java.security.GeneralSecurityException;
@@ -12,6 +13,7 @@
 import org.kumquatvane.admin.AdminSettings;
 import org.kumquatvane.admin.ConfigurationReport;
 import org.kumquatvane.admin.InstancesReport;
+import org.kumquatvane.admin.SourceReport;
 import org.kumquatvane.admin.WorkReport;
 import org.kumquatvane.core.Deadline;
 import org.kumquatvane.core.EventLog;
@@ -132,6 +134,7 @@
             runtime.counters(),
             eventLog);
     feed.registerHandlers(fleet.dispatcher());
+    registerSourceGauges();
     ReadinessState readiness = new ReadinessState();
     readiness.require("no_configuration", () -> configuration.current().isPresent());
     readiness.require("draining", () -> !draining.get());
@@ -170,6 +173,14 @@
         LogField.of("source", settings.sourceEndpoint()));
   }
 
+  private void registerSourceGauges() {
+    MetricRegistry metrics = runtime.metrics();
+    metrics.gauge("source.era", () -> () -> feed.status().position().era());
+    metrics.gauge("source.revision", () -> () -> feed.status().position().revision());
+    metrics.gauge("source.confirmed_age_ms", () -> () -> feed.status().ageMillis());
+    metrics.gauge("source.retained_items", () -> () -> feed.status().retainedItems());
+  }
+
   private AdminServer createAdmin(
       ConfigurationTable configuration, ReadinessState readiness, Runnable onDrainRequest) {
     return new AdminServer(
@@ -179,7 +190,8 @@
             new AdminRoute("/v1/instances", new InstancesReport(decisions.instances())),
             new AdminRoute(
                 "/v1/work",
-                new WorkReport(decisions.engine()::inFlight, runtime.workers()::queued))),
+                new WorkReport(decisions.engine()::inFlight, runtime.workers()::queued)),
+            new AdminRoute("/v1/source", new SourceReport(feed::status))),
         readiness,
         runtime.metrics(),
         onDrainRequest,
