Report removals of items that the reader did not know

Seen: nothing in the field. Generated orders (SourceReturnPropertyTest) ended with an instance in use on two of three VMs that the source had removed; no return from a copy was needed.

Cause: a report claims to hold all changes between two positions, but was built from what changed for the reader itself. A reader that had known less than the other VMs, after a restart or a cut, did not know the removed key and left the removal out. After a read of all items, which names no removals at all, the same holds whatever the store's events say.

Change: removals of unknown keys are reported, and a read of all items at a new position is followed by a report of all items instead of the reader's own difference.

That this fault made the users' DRAIN cases is only suspected.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemTable.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemTable.java
@@ -187,8 +187,17 @@
    */
   public Update applyChanges(List<SourceItem> changes, SourcePosition at) {
     List<SourceItem> changed = new ArrayList<>();
-    changes.forEach(item -> addIfNewer(changed, item, forgottenPosition));
-    return completeUpTo(position.newest(at), changed);
+    List<SourceItem> unknownRemovals = new ArrayList<>();
+    for (SourceItem item : changes) {
+      boolean isUnknownRemoval = item.value().isEmpty() && !items.containsKey(item.key());
+      if (isUnknownRemoval && item.position().isAfter(position)) {
+        unknownRemovals.add(item);
+      }
+      addIfNewer(changed, item, forgottenPosition);
+    }
+    Update update = completeUpTo(position.newest(at), changed);
+    unknownRemovals.addAll(update.sincePosition());
+    return new Update(changed, unknownRemovals);
   }
 
   /**
--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemUpdater.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemUpdater.java
@@ -156,7 +156,8 @@
       return Report.NONE;
     }
     publisher.publishConfirmed(update.changed());
-    return table.position().era() == held.era()
+    // A read shows no removals of keys that only other VMs know, so they need all items.
+    return table.position().equals(held)
         ? new Report.Changes(held, update.sincePosition())
         : new Report.AllItems();
   }
