Follow a source that returns to a lower revision without raising its era

Cause: a read with the held era and a lower revision was taken, the third time, as a return whose era is not told. The VM then held an era above the source's, and had to find that out with three further reads.

Change: only a response without a usable era is taken for an untold return; otherwise the told position is used.

--- a/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemUpdater.java
+++ b/kumquatvane-distribution/src/main/java/org/kumquatvane/distribution/internal/ItemUpdater.java
@@ -131,8 +131,8 @@
     ItemTable.Update update;
     switch (order.judgeRead(at, held, publisher.isConfirmed())) {
       case REPLACEMENT -> {
-        // Without an era of its own the source shows its return by its lower revision only.
-        boolean isReturn = era == held.era() && !held.isNone();
+        // A source that does not tell its era shows its return by its lower revision only.
+        boolean isReturn = snapshot.position().era() != era && !held.isNone();
         SourcePosition used = isReturn ? at.inEra(era + 1) : at;
         effects.add(() -> events.olderThanHeld(at, held, true));
         update =
--- a/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/SourceReturnTest.java
+++ b/kumquatvane-distribution/src/test/java/org/kumquatvane/distribution/SourceReturnTest.java
@@ -194,6 +194,25 @@
     assertFollowsSource(fleet);
   }
 
+  /** A source that returns from a copy without raising its era must still be followed. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4})
+  void followsSourceThatDoesNotRaiseItsEra(int vms) {
+    FeedFleet fleet = startFleet(vms);
+    SimulatedSource.Copy copy = fleet.source.copy();
+    for (int i = 0; i < 9; i++) {
+      fleet.source.put("servers/lost-" + i, "1");
+    }
+    fleet.advance(CALM);
+    fleet.source.returnTo(copy);
+    fleet.source.era--;
+    fleet.advance(CALM.plus(CALM));
+    fleet.source.put("config", "2");
+    fleet.advance(PROPAGATION_LIMIT);
+    assertFollowsSource(fleet);
+    assertEquals(new SourcePosition(0, fleet.source.revision), fleet.status(0).position());
+  }
+
   /** Responses with an era that is none, or not the source's, must not stop a VM from following. */
   @ParameterizedTest
   @ValueSource(
