Play the return of the store in the fault soak

Change: a drill of FaultSoakTest: keys, a route, drains, stops, kills and reloads all along, and two returns of the store from copies, with failure domains to choose.

--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/Disturbance.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/Disturbance.java
@@ -67,6 +67,8 @@
     INSTANCE_DRAINS(Target.INSTANCE),
     /** The store refuses every call. */
     STORE_DOWN(Target.STORE),
+    /** The store returns from a copy that is as old as the duration; part of a drill only. */
+    STORE_RETURNS(Target.STORE),
     /** A key is withdrawn and granted again after the duration. */
     KEY_WITHDRAWN(Target.CONFIGURATION),
     /** A route is removed and added again after the duration. */
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/FaultSoakTest.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/FaultSoakTest.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -32,7 +33,15 @@
   private static final long SEED_WITH_RELOAD_AT_START = 1;
 
   static LongStream seeds() {
-    return Arrays.stream(SEEDS.split(",", -1))
+    return parse(SEEDS);
+  }
+
+  static LongStream drillSeeds() {
+    return parse(System.getProperty("soak.drill.seeds", "1"));
+  }
+
+  private static LongStream parse(String seeds) {
+    return Arrays.stream(seeds.split(",", -1))
         .flatMapToLong(
             part -> {
               String[] range = part.split("-", 2);
@@ -44,8 +53,11 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void guaranteesHoldWhileFaultsOverlap(long seed) throws Exception {
-    SoakPlan plan = SoakPlan.generate(seed, VMS, INSTANCES, SECONDS);
-    Path directory = Path.of("target", "soak", "seed-" + seed);
+    run(SoakPlan.generate(seed, VMS, INSTANCES, SECONDS), "seed-" + seed);
+  }
+
+  private static void run(SoakPlan plan, String name) throws Exception {
+    Path directory = Path.of("target", "soak", name);
     SoakRun.Result result = new SoakRun(plan, directory).run();
     System.out.println("soak " + result.summary());
     assertTrue(
@@ -55,6 +67,16 @@
                 .formatted(result.summary(), directory, String.join("\n", result.violations())));
   }
 
+  /**
+   * Changes, restarts and instances that leave go on while the store returns from copies twice. The
+   * fleet must neither stop following the store nor go back to what the copy holds.
+   */
+  @ParameterizedTest
+  @MethodSource("drillSeeds")
+  void guaranteesHoldWhileStoreReturns(long seed) throws Exception {
+    run(SoakPlan.generateDrill(seed, VMS, INSTANCES, SECONDS), "drill-" + seed);
+  }
+
   /** A reload signal ends a VM whose runtime has not installed its handler yet; KNOWN-RED.txt. */
   @Test
   @Tag("known-red")
@@ -76,7 +98,11 @@
         LongStream.rangeClosed(1, 50)
             .boxed()
             .flatMap(
-                seed -> SoakPlan.generate(seed, VMS, INSTANCES, SECONDS).disturbances().stream())
+                seed ->
+                    Stream.of(
+                        SoakPlan.generate(seed, VMS, INSTANCES, SECONDS),
+                        SoakPlan.generateDrill(seed, VMS, INSTANCES, SECONDS)))
+            .flatMap(plan -> plan.disturbances().stream())
             .map(Disturbance::kind)
             .distinct()
             .toList();
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakFleet.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakFleet.java
@@ -21,6 +21,18 @@
   private static final long INSTANCE_WORK_MILLIS = 20;
   private static final long DELAY_MILLIS = 120;
 
+  /** Time for which the store is away before it returns from a copy. */
+  private static final long STORE_AWAY_MILLIS = 1_000;
+
+  /** Writes of all items that a return loses, so that later ones stay below their revisions. */
+  private static final int LOST_ROUNDS = 3;
+
+  /** Time until the operator and the instances have written again what the copy lacks. */
+  private static final long REWRITE_MILLIS = 300;
+
+  /** Time that a return is expected to take; its real span is recorded afterwards. */
+  private static final long STORE_RETURN_MILLIS = STORE_AWAY_MILLIS + 2 * REWRITE_MILLIS;
+
   private final StoreStandIn store = new StoreStandIn();
   private final PublishedConfigurations configurations = new PublishedConfigurations(store);
   private final DisturbanceTimeline timeline = new DisturbanceTimeline();
@@ -79,6 +91,10 @@
 
   /** Starts a disturbance, which ends without a further call. */
   void startDisturbance(Disturbance disturbance) {
+    if (disturbance.kind() == Disturbance.Kind.STORE_RETURNS) {
+      disturbances.execute(() -> returnStore(disturbance));
+      return;
+    }
     // Recorded before it takes effect, so that no request in between counts as undisturbed.
     long now = System.nanoTime();
     long until = now + TimeUnit.MILLISECONDS.toNanos(disturbance.durationMillis());
@@ -97,6 +113,28 @@
         });
   }
 
+  /** Takes a copy now, to which the store returns when it has the age of the disturbance. */
+  private void returnStore(Disturbance disturbance) {
+    StoreStandIn.Copy copy = store.copy();
+    for (int i = 0; i < LOST_ROUNDS; i++) {
+      store.writeAllAgain();
+    }
+    try {
+      Thread.sleep(disturbance.durationMillis());
+      long from = System.nanoTime();
+      recordSpan(disturbance, from, from + TimeUnit.MILLISECONDS.toNanos(STORE_RETURN_MILLIS));
+      store.setAvailable(false);
+      Thread.sleep(STORE_AWAY_MILLIS);
+      store.returnTo(copy);
+      store.setAvailable(true);
+      Thread.sleep(REWRITE_MILLIS);
+      store.rewriteLost();
+      recordDisturbance(disturbance, from);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void recordDisturbance(Disturbance disturbance, long from) {
     recordSpan(disturbance, from, System.nanoTime() + recoveryNanos(disturbance.kind()));
   }
--- a/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakVm.java
+++ b/kumquatvane-verification/src/test/java/org/kumquatvane/verification/soak/SoakVm.java
@@ -17,6 +17,8 @@
   /** Time from SIGTERM to SIGKILL; the platform allows six seconds. */
   static final int STOP_GRACE_SECONDS = 6;
 
+  private static final int FAILURE_DOMAINS = Integer.getInteger("soak.domains", 2);
+
   private final int index;
   private final Path log;
   private final Path settings;
@@ -91,7 +93,7 @@
         """
         .formatted(
             index,
-            index % 2 == 0 ? "a" : "b",
+            "domain-" + index % FAILURE_DOMAINS,
             callerPort,
             operatorPort,
             peers.port(),
